--- a/src/bin/plumtack-benchlink.rs
+++ b/src/bin/sailmux-simhost.rs
@@ -1,4 +1,4 @@
-//! Speaks the bench's wire on standard input and output: one [`plumtack::Balancer`] per instance, nothing shared.
+//! Speaks the bench's wire on standard input and output: one [`sailmux::Balancer`] per instance, nothing shared.
 
 #[path = "../wire.rs"]
 mod wire;
@@ -12,7 +12,7 @@
     match wire::run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("plumtack-benchlink: {error}");
+            eprintln!("sailmux-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
 //! The decisions of a query aggregator that serves each query from many shards.
 //!
-//! plumtack is a sans-IO state machine: the caller owns clock, sockets and timers, feeds [`api::Event`]s to a
+//! sailmux is a sans-IO state machine: the caller owns clock, sockets and timers, feeds [`api::Event`]s to a
 //! [`Balancer`] and carries out the [`api::Action`]s it gets back, in order. The ordinary path is power of two
 //! choices; `docs/design.md` tells what was added to it and when it acts.
 //!
 //! ```
-//! use plumtack::Balancer;
-//! use plumtack::api::*;
+//! use sailmux::Balancer;
+//! use sailmux::api::*;
 //!
 //! let class = Class {
 //!     aim: 1500.0, aim_stretch: 0.0, deadline: 3000.0, late_value: 0.0, worth: 1.0, effect: Effect::Safe,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,7 +1,7 @@
 //! The bench's wire: framing, names to indices, one balancer per instance. No decisions.
 
-use plumtack::Balancer;
-use plumtack::api::*;
+use sailmux::Balancer;
+use sailmux::api::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::error::Error;
@@ -511,7 +511,7 @@
 /// # Errors
 /// A line that cannot be read, or an output that cannot be written.
 pub fn run(input: impl BufRead, mut out: impl Write) -> Fallible<()> {
-    std::panic::set_hook(Box::new(|info| eprintln!("plumtack-benchlink: {info}")));
+    std::panic::set_hook(Box::new(|info| eprintln!("sailmux-simhost: {info}")));
     let mut instances: BTreeMap<u32, Instance> = BTreeMap::new();
     let mut lists: HashMap<u32, Vec<Row>> = HashMap::new();
     let (mut now, mut batch) = (0.0, 0);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A caller of the module that remembers what is out.
 #![allow(dead_code)]
 
-use plumtack::Balancer;
-use plumtack::api::*;
+use sailmux::Balancer;
+use sailmux::api::*;
 
 pub fn class() -> Class {
     Class {
--- a/tests/further.rs
+++ b/tests/further.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use plumtack::api::*;
+use sailmux::api::*;
 
 fn ended(rig: &Rig, query: QueryId) -> bool {
     let ends =
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use plumtack::api::*;
+use sailmux::api::*;
 
 /// With two holders and a shard, the one with more parts out is never sent the next part.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::*;
-use plumtack::Balancer;
-use plumtack::api::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sailmux::Balancer;
+use sailmux::api::*;
 use std::collections::BTreeMap;
 
 fn refused(rig: &Rig, query: QueryId) -> bool {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_plumtack-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sailmux-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
