--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,258 @@
+//! What a mixer is told at its start: environment and `RELAY_CONFIG`. The mapping of the platform's settings to
+//! the module's stands here once; the simulator adapter uses it too.
+
+use crate::api::*;
+use crate::core::{NodeEntry, NodeList};
+use crate::json::{Field, FieldError};
+use miniserde::json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::{env, fmt, fs};
+
+/// The figures and names that an instance gets, as the module and the mixer round it use them.
+#[derive(Clone, Debug)]
+pub struct SiteSettings {
+    /// The decision module's own.
+    pub module: Settings,
+    /// Class names, by the module's index.
+    pub classes: Vec<String>,
+    /// Tenant names, by the module's index.
+    pub tenants: Vec<String>,
+    /// Zone names, by the module's index.
+    pub zones: Vec<String>,
+    /// Number of shards, where told.
+    pub shards: Option<u32>,
+    /// Calls that one connection to a node carries at once.
+    pub calls_per_connection: u32,
+    /// A connection that is not up by then has failed.
+    pub dial_timeout: Millis,
+    /// Nodes close a connection that has stood idle for so long.
+    pub keepalive: Millis,
+}
+
+/// Reads the settings from an instance's first message or from `settings` in `RELAY_CONFIG`.
+///
+/// # Errors
+/// The first field that is missing or makes no sense is named.
+pub fn settings(facts: &Field<'_>) -> Result<SiteSettings, FieldError> {
+    let names = |list: Field<'_>, name: &str| -> Result<Vec<String>, FieldError> {
+        let Some(list) = list.present() else { return Ok(Vec::new()) };
+        list.entries()?.iter().map(|e| Ok(e.get(name).text()?.to_owned())).collect()
+    };
+    let specifics = facts.get("specifics");
+    let per_class = |name: &str, i: usize| -> Result<f64, FieldError> {
+        let field = specifics.get(name);
+        field.entries()?.get(i).ok_or_else(|| field.wrong("has no figure for every class"))?.number()
+    };
+    let mut classes = Vec::new();
+    for (i, c) in facts.get("categories").entries()?.iter().enumerate() {
+        let effect = c.get("effect");
+        classes.push(Class {
+            aim: c.get("aimMs").number()?,
+            aim_stretch: c.get("aimStretch").number_or(0.0)?,
+            deadline: c.get("hardLimitMs").number()?,
+            late_value: c.get("lateValue").number_or(0.0)?,
+            worth: c.get("worth").number_or(1.0)?,
+            effect: match effect.text()? {
+                "retryable" => Effect::Safe,
+                "dedup" => Effect::Keyed { window: c.get("windowMs").number_or(0.0)? },
+                "fragile" => Effect::Unsafe,
+                other => return Err(effect.wrong(format!("knows no effect {other:?}"))),
+            },
+            need: per_class("completeFrom", i)?,
+            floor: per_class("floorByClass", i)?,
+            partial_value: per_class("classPartial", i)?,
+            second_step: per_class("fetchParts", i)? as u32,
+        });
+    }
+    let (limits, rules) = (facts.get("limits"), facts.get("invariants"));
+    let (how, discovery) = (facts.get("report").get("how"), facts.get("discovery"));
+    let mut tenants = Vec::new();
+    if let Some(list) = facts.get("tenants").present() {
+        for t in list.entries()? {
+            tenants.push(Tenant { quota_per_s: t.get("quotaPerS").number()? });
+        }
+    }
+    let mut zones = Vec::new();
+    if let Some(list) = facts.get("zones").present() {
+        for z in list.entries()? {
+            zones.push(z.text()?.to_owned());
+        }
+    }
+    let zone = facts.get("zone").present().map_or(Ok(""), |z| z.text())?;
+    let budget = |name: &str| rules.get(name).present().map(|f| f.number()).transpose();
+    let module = Settings {
+        classes,
+        tenants,
+        over_share_worth: facts.get("overShareWorth").number_or(0.0)?,
+        worth_by_work: facts.get("worthBy").present().is_some_and(|f| f.text() == Ok("work")),
+        marks_retry: facts.get("clients").get("marksRetry").present().map_or(Ok(false), |f| f.flag())?,
+        aggregators: facts.get("replicasOfMe").small()?,
+        tick: facts.get("periodMs").number()?,
+        cells: specifics.get("positions").small()?,
+        width: specifics.get("width").small()?,
+        parts_per_call: specifics.get("perCall").number_or(1.0)? as u32,
+        reporting: match how.text()? {
+            "inline" => Reporting::Inline,
+            "on_probe" => Reporting::OnProbe,
+            "off" => Reporting::Off,
+            other => return Err(how.wrong(format!("knows no way of reporting {other:?}"))),
+        },
+        probes: limits.get("probes").flag()?,
+        cancel: limits.get("cancel").flag()?,
+        second_copies: limits.get("secondCopies").flag()?,
+        max_attempts: limits.get("maxAttempts").small()?,
+        max_open: limits.get("maxOpen").number()? as u32,
+        retry_after: match limits.get("retryAfter").flag()? {
+            true => Some(limits.get("maxRetryAfterMs").number()?),
+            false => None,
+        },
+        discovery_on_request: match discovery.text()? {
+            "pushed" => false,
+            "on_request" => true,
+            other => return Err(discovery.wrong(format!("knows no discovery {other:?}"))),
+        },
+        ask_within: rules.get("mustAskInMs").number_or(0.0)?,
+        cold_share: rules.get("coldShare").number_or(1.0)?,
+        warm_after: rules.get("warmAfterMs").number_or(0.0)?,
+        retry_budget: match (budget("extraFree")?, budget("budgetShare")?, budget("lookBackMs")?) {
+            (_, None, _) | (_, _, None) => None,
+            (free, Some(share), Some(window)) => {
+                Some(RetryBudget { free: free.unwrap_or(0.0), share, window })
+            }
+        },
+        cross_zone_price: facts.get("tariffs").get("crossZone").number_or(0.0)?,
+        zone: index_of(&zones, zone),
+    };
+    module.validate().map_err(|e| facts.wrong(e.to_string()))?;
+    Ok(SiteSettings {
+        module,
+        classes: names(facts.get("categories"), "name")?,
+        tenants: names(facts.get("tenants"), "name")?,
+        zones,
+        shards: specifics.get("shards").present().map(|f| f.small()).transpose()?,
+        calls_per_connection: limits.get("streamsPerConn").number_or(1.0)?.max(1.0) as u32,
+        dial_timeout: limits.get("dialTimeoutMs").number_or(1000.0)?,
+        keepalive: limits.get("keepaliveMs").number_or(30_000.0)?,
+    })
+}
+
+/// The module's number of a zone; none of the zones where the name is unknown.
+pub fn index_of(zones: &[String], zone: &str) -> u32 {
+    zones.iter().position(|z| z == zone).map_or(u32::MAX, |i| i as u32)
+}
+
+/// Reads a list of nodes in discovery's form.
+///
+/// # Errors
+/// The first field that is missing or makes no sense is named.
+pub fn node_list(list: &Field<'_>) -> Result<NodeList, FieldError> {
+    let mut entries = Vec::new();
+    for row in list.get("instances").entries()? {
+        let state = row.get("lifecycle");
+        entries.push(NodeEntry {
+            name: row.get("instanceId").text()?.into(),
+            address: row.get("hostPort").text()?.into(),
+            zone: row.get("zone").present().map_or(Ok(""), |f| f.text())?.into(),
+            cell: row.get("cell").present().map_or(Ok(0), |f| f.small())?,
+            weight: row.get("weight").number_or(1.0)?,
+            state: match state.text()? {
+                "Ready" => ReplicaState::Up,
+                "Terminating" => ReplicaState::Draining,
+                "Gone" => ReplicaState::Removed,
+                other => return Err(state.wrong(format!("knows no state {other:?}"))),
+            },
+            started_unix: row.get("startedAtMs").number_or(0.0)?,
+        });
+    }
+    let complete = list.get("reset").present().map_or(Ok(false), |f| f.flag())?;
+    Ok(NodeList { generation: list.get("generation").count()?, complete, entries })
+}
+
+/// A mixer's whole configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The mixer's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is reached.
+    pub discovery: Arc<str>,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of nodes as this mixer last had it.
+    pub known: NodeList,
+    /// The settings.
+    pub site: SiteSettings,
+}
+
+/// Why the program cannot start.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// An environment variable is missing.
+    Missing(&'static str),
+    /// A file cannot be read.
+    Unreadable(String, std::io::Error),
+    /// A file is not what it should be as a whole.
+    Malformed(String, &'static str),
+    /// A field of a file.
+    Field(String, FieldError),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(name) => write!(f, "environment variable {name} is not set"),
+            Self::Unreadable(file, e) => write!(f, "{file}: {e}"),
+            Self::Malformed(file, what) => write!(f, "{file}: {what}"),
+            Self::Field(file, e) => write!(f, "{file}: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+impl Config {
+    /// From the environment and the file that `RELAY_CONFIG` names. `RELAY_NAME`, `RELAY_LISTEN` and
+    /// `RELAY_DISCOVERY` stand over the file's.
+    ///
+    /// # Errors
+    /// What keeps the program from starting, with the file and the field.
+    pub fn load() -> Result<Self, ConfigError> {
+        let path = env::var("RELAY_CONFIG").map_err(|_| ConfigError::Missing("RELAY_CONFIG"))?;
+        Self::read(Path::new(&path))
+    }
+
+    fn read(path: &Path) -> Result<Self, ConfigError> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
+        let value: Value = miniserde::json::from_str(&text)
+            .map_err(|_| ConfigError::Malformed(file.clone(), "is not JSON"))?;
+        Self::from_json(&Field::root(&value)).map_err(|e| ConfigError::Field(file, e))
+    }
+
+    fn from_json(root: &Field<'_>) -> Result<Self, FieldError> {
+        let told = |variable: &str, field: &str| -> Result<(String, Field<'_>), FieldError> {
+            let field = root.get(field);
+            let text = env::var(variable).map_or_else(|_| field.text().map(str::to_owned), Ok)?;
+            Ok((text, field))
+        };
+        let (listen, listen_field) = told("RELAY_LISTEN", "listen")?;
+        let seed = root.get("seed");
+        Ok(Config {
+            name: told("RELAY_NAME", "name")?.0,
+            listen: listen.parse().map_err(|_| listen_field.wrong("is no address and port"))?,
+            discovery: told("RELAY_DISCOVERY", "discovery")?.0.into(),
+            seed: u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("is no hex number"))?,
+            sockets: root.get("limits").get("sockets").number_or(1024.0)? as usize,
+            known: match root.get("known").present() {
+                Some(list) => NodeList { complete: true, ..node_list(&list)? },
+                None => NodeList::default(),
+            },
+            site: settings(&root.get("settings"))?,
+        })
+    }
+}
--- /dev/null
+++ b/src/core/counters.rs
@@ -0,0 +1,58 @@
+//! What is taken in, sent and answered.
+
+macro_rules! counters {
+    ($($name:ident: $help:literal,)*) => {
+        /// Counts since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $(#[doc = $help] pub $name: u64,)*
+        }
+
+        impl Counters {
+            /// One line each, in the text form that metric collectors read.
+            pub fn text(&self) -> String {
+                let mut text = String::new();
+                $(text += &format!(
+                    concat!("# HELP sailmux_", stringify!($name), " ", $help, "\n",
+                            "# TYPE sailmux_", stringify!($name), " counter\n",
+                            "sailmux_", stringify!($name), " {}\n"),
+                    self.$name
+                );)*
+                text
+            }
+        }
+    };
+}
+
+counters! {
+    clients_opened: "Client connections opened.",
+    clients_closed: "Client connections ended.",
+    queries_taken: "Queries taken in.",
+    parts_taken: "Parts of those queries.",
+    queries_malformed: "Requests that no query could be read from.",
+    answers_whole: "Queries answered whole.",
+    answers_partial: "Queries answered from some of their parts.",
+    queries_refused: "Queries turned away.",
+    queries_failed: "Queries given up.",
+    queries_expired: "Queries whose time ran out.",
+    clients_gone: "Queries whose client left.",
+    attempts_sent: "Attempts written whole to a node.",
+    attempts_good: "Attempts served.",
+    attempts_bad: "Attempts that ended in an error.",
+    attempts_rejected: "Attempts that a node turned away.",
+    attempts_timed_out: "Attempts without an answer in time.",
+    attempts_not_connected: "Attempts that found no connection.",
+    attempts_reset: "Attempts whose connection broke.",
+    attempts_cancelled: "Attempts called off.",
+    attempts_not_sent: "Attempts that were over before they left.",
+    answers_ignored: "Answers of nodes that nobody waited for any more.",
+    probes_sent: "Probes sent.",
+    probes_answered: "Probes answered.",
+    probes_failed: "Probes without a good answer.",
+    connections_dialled: "Connections to nodes begun.",
+    connections_up: "Connections to nodes that came up.",
+    connections_broken: "Connections to nodes that failed or were ended by the node.",
+    connections_closed: "Connections to nodes that this mixer closed.",
+    lists_taken: "Lists of nodes and changes taken in.",
+    watches_lost: "Watches of the list that ended or fell silent.",
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,237 @@
+//! The sans-IO mixer. It knows no wire: fronts and node connections turn their bytes into [`Event`]s, and carry
+//! out the [`Effect`]s that [`reduce`] gives back. All state changes are made there, and nowhere else.
+
+mod counters;
+mod reduce;
+mod state;
+
+pub use counters::Counters;
+pub use reduce::reduce;
+pub use state::{Limits, State};
+
+use crate::api::{LoadReport, Millis, ReplicaState};
+use bytes::Bytes;
+use std::sync::Arc;
+
+/// A client's connection (HTTP) or call (Flight), numbered by the fronts; it has one query at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// A connection to a node, numbered by the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// An attempt of a part, numbered by the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId(pub u64);
+
+/// A query as a front has read it.
+#[derive(Clone, Debug)]
+pub struct NewQuery {
+    /// The client's name for it, fresh with every try.
+    pub name: Arc<str>,
+    /// Its class.
+    pub class: String,
+    /// Its tenant, if any.
+    pub tenant: Option<String>,
+    /// Time until the client gives up.
+    pub time_left: Millis,
+    /// The client marked it as a repeat.
+    pub retry: bool,
+    /// What each part has to carry.
+    pub text: Arc<str>,
+    /// Its parts.
+    pub parts: Vec<NewPart>,
+}
+
+/// One part of a query as read.
+#[derive(Clone, Copy, Debug)]
+pub struct NewPart {
+    /// The shard it asks.
+    pub shard: u32,
+    /// Its share of the whole answer.
+    pub weight: f64,
+    /// Estimated work, if told.
+    pub cost_hint: Option<Millis>,
+}
+
+/// A node as discovery or an inventory lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeEntry {
+    /// The same at every mixer, and after a restart.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Its cell, which determines its shards.
+    pub cell: u32,
+    /// Its told size.
+    pub weight: f64,
+    /// Its state.
+    pub state: ReplicaState,
+    /// Unix time of its last start; 0 for long ago.
+    pub started_unix: Millis,
+}
+
+/// A list of nodes or of changes to it.
+#[derive(Clone, Debug, Default)]
+pub struct NodeList {
+    /// Its version.
+    pub generation: u64,
+    /// Whole: what is absent is gone.
+    pub complete: bool,
+    /// Its entries.
+    pub entries: Vec<NodeEntry>,
+}
+
+/// How a node answered a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Good,
+    /// An error; it may have run.
+    Bad,
+    /// Turned away; it never ran.
+    Later,
+}
+
+/// What the core is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A client's connection has opened.
+    ClientOpened(ClientId),
+    /// It has ended, by whatever side.
+    ClientClosed(ClientId),
+    /// A client's query is in whole.
+    Query(ClientId, NewQuery),
+    /// A client sent what no query can be read from; the front has answered with a 4xx of its own.
+    Malformed,
+    /// A client asks whether this mixer takes queries.
+    HealthAsked(ClientId),
+    /// A client asks for the counters.
+    CountersAsked(ClientId),
+    /// A connection to a node is up.
+    Connected(ConnId),
+    /// All messages up to this one (counted from 1) have been written to the last byte.
+    Written(ConnId, u64),
+    /// A node has answered an attempt.
+    PartEnded {
+        /// On which connection.
+        conn: ConnId,
+        /// Which attempt.
+        attempt: AttemptId,
+        /// How.
+        end: End,
+        /// The value; of no meaning unless good.
+        value: Bytes,
+        /// The load report that came along.
+        report: Option<LoadReport>,
+    },
+    /// A node has answered the oldest probe on a connection.
+    ProbeEnded {
+        /// On which connection.
+        conn: ConnId,
+        /// Whether the node is well.
+        good: bool,
+        /// The load it reports.
+        report: Option<LoadReport>,
+    },
+    /// A connection to a node never came up or has ended, by whatever side: nothing more comes or goes on it.
+    Broken {
+        /// Which.
+        conn: ConnId,
+        /// Why, for the log; empty for no news.
+        why: String,
+    },
+    /// What is said about the list of nodes.
+    Nodes {
+        /// The list or its changes.
+        list: NodeList,
+        /// How far the wall clock is ahead of the core's.
+        wall_ahead: Millis,
+    },
+    /// The watch of the list has ended or has fallen silent.
+    WatchLost,
+    /// A time that [`State::next_timer`] named has come.
+    Tick,
+    /// The operators want this mixer to end.
+    Terminate,
+}
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Served.
+    Answer {
+        /// All parts that a whole answer needs are in.
+        whole: bool,
+        /// Shards and values, as the nodes gave them.
+        values: Vec<(u32, Bytes)>,
+    },
+    /// Turned away; asking again is harmless.
+    Refused {
+        /// When to come back.
+        retry_after: Option<Millis>,
+    },
+    /// Given up.
+    Failed,
+    /// Its time is over.
+    Expired,
+    /// No query that this mixer can take, and why.
+    Unusable(&'static str),
+    /// Whether this mixer takes queries.
+    Health {
+        /// It does.
+        ready: bool,
+    },
+    /// The counters as text.
+    Counters(String),
+}
+
+/// A part on its way to a node.
+#[derive(Clone, Debug)]
+pub struct CallPart {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The query's name.
+    pub query: Arc<str>,
+    /// The shard asked.
+    pub shard: u32,
+    /// How long the mixer will wait.
+    pub wait: Millis,
+    /// The query's text.
+    pub text: Arc<str>,
+}
+
+/// What the caller is to do, in order.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Tell a client.
+    Reply {
+        /// Which.
+        client: ClientId,
+        /// What.
+        reply: Reply,
+        /// And close its connection after that.
+        close: bool,
+    },
+    /// Close a client's connection as soon as no request is under way on it.
+    CloseClient(ClientId),
+    /// Open a connection to a node.
+    Dial(ConnId, Arc<str>),
+    /// Write one call; a message for [`Event::Written`].
+    Call(ConnId, Vec<CallPart>),
+    /// Write that an attempt is given up; a message for [`Event::Written`].
+    GiveUp(ConnId, AttemptId),
+    /// Write a probe for load; a message for [`Event::Written`].
+    Probe(ConnId),
+    /// End a connection to a node at once; [`Event::Broken`] confirms it.
+    Close(ConnId),
+    /// Accept no more clients.
+    StopAccepting,
+    /// All is done.
+    Exit,
+    /// A line for the operators.
+    Log(String),
+}
--- /dev/null
+++ b/src/core/state.rs
@@ -0,0 +1,251 @@
+//! What the core remembers. Changed by `reduce` alone.
+
+use super::{AttemptId, ClientId, ConnId, Counters};
+use crate::Balancer;
+use crate::api::*;
+use crate::config::SiteSettings;
+use bytes::Bytes;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+/// How much the core may hold open.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections to nodes.
+    pub node_connections: usize,
+    /// Clients' connections beyond which idle ones are closed.
+    pub clients: usize,
+}
+
+impl Limits {
+    /// Shares of the descriptors that the process may hold: half for clients, a quarter for nodes, the rest for
+    /// crossings, discovery and files.
+    pub fn of(sockets: usize) -> Self {
+        Limits { node_connections: (sockets / 4).max(1), clients: (sockets / 2).max(1) }
+    }
+}
+
+/// All that the mixer knows.
+pub struct State {
+    pub(super) site: SiteSettings,
+    pub(super) limits: Limits,
+    pub(super) module: Balancer,
+    pub(super) counters: Counters,
+    pub(super) clients: BTreeMap<ClientId, Client>,
+    pub(super) queries: BTreeMap<QueryId, Query>,
+    pub(super) parts: BTreeMap<PartId, Part>,
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) nodes: BTreeMap<ReplicaId, Node>,
+    pub(super) node_ids: HashMap<Arc<str>, ReplicaId>,
+    pub(super) conns: BTreeMap<ConnId, Conn>,
+    /// Names of the queries held: node frames name parts by them.
+    pub(super) names: BTreeSet<Arc<str>>,
+    pub(super) timers: BTreeSet<(At, Timer)>,
+    pub(super) next_id: u64,
+    /// When the operators asked this mixer to end.
+    pub(super) terminating: Option<Millis>,
+    pub(super) exited: bool,
+}
+
+/// A point of time that can be sorted; times are never negative or not a number.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct At(u64);
+
+impl From<Millis> for At {
+    fn from(at: Millis) -> Self {
+        At(at.max(0.0).to_bits())
+    }
+}
+
+impl At {
+    pub fn millis(self) -> Millis {
+        f64::from_bits(self.0)
+    }
+}
+
+/// What a timer is for; one whose subject is over does nothing.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Timer {
+    Module,
+    Query(QueryId),
+    Attempt(AttemptId),
+    Dial(ConnId),
+    Stall(ConnId),
+    Idle(ConnId),
+    Probe(ConnId),
+    Drain,
+}
+
+/// A client's connection.
+pub(super) struct Client {
+    pub query: Option<QueryId>,
+    /// Since when it has had no query.
+    pub idle_since: Millis,
+}
+
+pub(super) struct Query {
+    pub client: ClientId,
+    pub name: Arc<str>,
+    pub text: Arc<str>,
+    pub parts: Vec<PartId>,
+}
+
+pub(super) struct Part {
+    pub query: QueryId,
+    pub shard: u32,
+    /// Attempts that the module has asked for.
+    pub attempts: u32,
+    /// Attempts that the module waits for.
+    pub live: BTreeMap<u32, AttemptId>,
+    /// Given up, but a node may not have been told yet.
+    pub unsettled: u32,
+    /// The next attempt, while one is unsettled.
+    pub held: Option<AttemptId>,
+    pub value: Option<Bytes>,
+}
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Waits until earlier attempts of its part are settled.
+    Held,
+    /// Waits for its connection.
+    Placed(ConnId),
+    /// Handed to the writer as this message.
+    Handed(ConnId, u64),
+    /// Given up; settled once the connection is gone, or this message is written.
+    GivenUp(ConnId, Option<u64>),
+}
+
+pub(super) struct Attempt {
+    pub part: PartId,
+    pub number: u32,
+    pub node: ReplicaId,
+    pub sent: Millis,
+    pub until: Millis,
+    pub stage: Stage,
+}
+
+pub(super) struct Node {
+    pub address: Arc<str>,
+    /// As told, and on the core's clock. Converted once: a start converted anew would look like another one.
+    pub started_unix: Millis,
+    pub started: Option<Millis>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    Dialling,
+    Up,
+    /// Closed by this mixer, which is not confirmed yet.
+    Closing,
+}
+
+pub(super) struct Probe {
+    pub sent: Millis,
+    /// The module has been told an end.
+    pub over: bool,
+}
+
+/// A connection to a node.
+pub(super) struct Conn {
+    pub node: ReplicaId,
+    pub phase: Phase,
+    /// Attempts on it, until settled.
+    pub attempts: BTreeSet<AttemptId>,
+    /// Those not handed to the writer yet, in order.
+    pub placed: Vec<AttemptId>,
+    /// Messages handed to the writer, and those written whole.
+    pub handed: u64,
+    pub written: u64,
+    /// When the oldest message that is not written was handed over.
+    pub waits_since: Millis,
+    /// Oldest first; answers come in that order.
+    pub probes: VecDeque<Probe>,
+    /// Probes that wait for the connection.
+    pub probes_placed: u32,
+    /// When a part was last on it.
+    pub used: Millis,
+    /// When the node last said anything on it.
+    pub heard: Millis,
+    /// Takes nothing new; closed once nothing is out.
+    pub retired: bool,
+}
+
+impl Conn {
+    pub fn new(node: ReplicaId, now: Millis) -> Self {
+        Conn {
+            node,
+            phase: Phase::Dialling,
+            attempts: BTreeSet::new(),
+            placed: Vec::new(),
+            handed: 0,
+            written: 0,
+            waits_since: now,
+            probes: VecDeque::new(),
+            probes_placed: 0,
+            used: now,
+            heard: now,
+            retired: false,
+        }
+    }
+
+    /// Counts a message handed to the writer; its number.
+    pub fn hand(&mut self, now: Millis) -> u64 {
+        if self.handed == self.written {
+            self.waits_since = now;
+        }
+        self.handed += 1;
+        self.handed
+    }
+
+    pub fn is_unused(&self) -> bool {
+        self.attempts.is_empty() && self.probes.iter().all(|p| p.over) && self.probes_placed == 0
+    }
+}
+
+impl State {
+    /// A mixer that has met nothing yet.
+    ///
+    /// # Errors
+    /// Settings that make no sense.
+    pub fn new(site: SiteSettings, limits: Limits, seed: u64) -> Result<Self, SettingsError> {
+        Ok(State {
+            module: Balancer::new(site.module.clone(), seed)?,
+            site,
+            limits,
+            counters: Counters::default(),
+            clients: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            node_ids: HashMap::new(),
+            conns: BTreeMap::new(),
+            names: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            next_id: 0,
+            terminating: None,
+            exited: false,
+        })
+    }
+
+    /// When the core next wants a [`super::Event::Tick`].
+    pub fn next_timer(&self) -> Option<Millis> {
+        self.timers.first().map(|(at, _)| at.millis())
+    }
+
+    /// The counters so far.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    pub(super) fn fresh_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    pub(super) fn arm(&mut self, at: Millis, timer: Timer) {
+        self.timers.insert((at.into(), timer));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,7 +41,12 @@
 //! ```
 
 pub mod api;
+pub mod clock;
+pub mod config;
+pub mod core;
+pub mod json;
 mod logic;
+pub mod net;
 mod state;
 
 pub use state::Balancer;
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,127 @@
+//! The watch of discovery's list: one chunked answer of JSON lines, asked for anew whenever it ends.
+
+use super::chunked::Chunks;
+use super::{Input, ToCore};
+use crate::clock::Clock;
+use crate::config::node_list;
+use crate::core::{Event, NodeList};
+use crate::json::Field;
+use bytes::BytesMut;
+use miniserde::json::Value;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// An empty line comes every 2 s: two missed and a bit mean that the watch has died without a word.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// Between a watch that ended and the next.
+const AGAIN: Duration = Duration::from_millis(100);
+/// A list is no longer than that: against an answer that never ends a line.
+const LINE_MOST: usize = 4 << 20;
+/// An answer's head is no longer than that.
+const HEAD_MOST: usize = 16 << 10;
+
+/// Watches for as long as the program runs.
+pub(crate) async fn watch(address: Arc<str>, mut generation: u64, to_core: ToCore, clock: Rc<Clock>) {
+    let mut said = String::new();
+    loop {
+        let end = match watch_once(&address, &mut generation, &to_core, &clock).await {
+            Ok(()) => "the watch has ended".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        if end != said {
+            eprintln!("discovery: {end}");
+            said = end;
+        }
+        if to_core.send(Input::Event(Event::WatchLost)).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+fn malformed(what: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+async fn watch_once(address: &str, generation: &mut u64, to_core: &ToCore, clock: &Clock) -> io::Result<()> {
+    let mut stream = timeout(SILENCE, TcpStream::connect(address)).await??;
+    let request = format!(
+        "GET /v1/servers?watch=1&after={generation} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let (mut raw, mut body) = (BytesMut::new(), BytesMut::new());
+    let mut chunks = loop {
+        if let Some(chunks) = head(&mut raw)? {
+            break chunks;
+        }
+        read(&mut stream, &mut raw).await?;
+    };
+    loop {
+        let ended = match &mut chunks {
+            Some(chunks) => chunks.take(&mut raw, &mut body).map_err(|_| malformed("a bad chunk"))?,
+            None => {
+                body.unsplit(raw.split());
+                false
+            }
+        };
+        while let Some(end) = body.iter().position(|b| *b == b'\n') {
+            let line = body.split_to(end + 1);
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            let list = parse(&line)?;
+            // Kept for the next watch only once the list has been taken.
+            let next = list.generation;
+            let event = Event::Nodes { list, wall_ahead: clock.wall_ahead() };
+            to_core.send(Input::Event(event)).await.map_err(io::Error::other)?;
+            *generation = next;
+        }
+        if ended {
+            return Ok(());
+        }
+        if body.len() > LINE_MOST {
+            return Err(malformed("a line without an end"));
+        }
+        read(&mut stream, &mut raw).await?;
+    }
+}
+
+async fn read(stream: &mut TcpStream, raw: &mut BytesMut) -> io::Result<()> {
+    match timeout(SILENCE, stream.read_buf(raw)).await {
+        Ok(Ok(0)) => Err(io::ErrorKind::UnexpectedEof.into()),
+        Ok(read) => read.map(drop),
+        Err(_) => Err(io::Error::new(io::ErrorKind::TimedOut, "the watch has fallen silent")),
+    }
+}
+
+/// Takes the answer's head off the input once it is in: how the body comes.
+fn head(raw: &mut BytesMut) -> io::Result<Option<Option<Chunks>>> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut response = httparse::Response::new(&mut headers);
+    match response.parse(raw).map_err(malformed)? {
+        httparse::Status::Partial if raw.len() > HEAD_MOST => Err(malformed("a head without an end")),
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(used) => {
+            let code = response.code.unwrap_or(0);
+            if code != 200 {
+                return Err(malformed(format!("answered {code}")));
+            }
+            let chunked = response.headers.iter().any(|h| {
+                h.name.eq_ignore_ascii_case("transfer-encoding") && h.value.eq_ignore_ascii_case(b"chunked")
+            });
+            drop(raw.split_to(used));
+            Ok(Some(chunked.then(Chunks::default)))
+        }
+    }
+}
+
+fn parse(line: &[u8]) -> io::Result<NodeList> {
+    let text = std::str::from_utf8(line).map_err(malformed)?;
+    let value: Value = miniserde::json::from_str(text).map_err(|_| malformed("a line that is not JSON"))?;
+    node_list(&Field::root(&value)).map_err(malformed)
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,368 @@
+//! The platform's front: HTTP/1.1 from clients. It reads requests and writes answers; what they mean is up to
+//! the core.
+
+use super::chunked::Chunks;
+use super::{Input, ToClient, ToCore};
+use crate::api::Millis;
+use crate::core::{ClientId, Event, Limits, NewPart, NewQuery, Reply};
+use bytes::{Buf, Bytes, BytesMut};
+use miniserde::{Deserialize, Serialize, json};
+use std::io;
+use std::ops::ControlFlow;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// A body holds at most 64 KiB.
+const BODY_MOST: usize = 64 << 10;
+/// A request's line and headers together.
+const HEAD_MOST: usize = 16 << 10;
+const HEADERS_MOST: usize = 64;
+/// A request that has begun must be in by then: against clients that hold a connection by trickling.
+const REQUEST_WITHIN: Duration = Duration::from_secs(10);
+/// A client that does not take its answer for so long is cut off.
+const WRITE_WITHIN: Duration = Duration::from_secs(5);
+/// After the last answer: the client's close is waited for, lest what it sent meanwhile resets the answer.
+const LINGER: Duration = Duration::from_secs(1);
+/// An idle connection is closed after so long.
+const IDLE: Duration = Duration::from_secs(120);
+
+/// Accepts clients until aborted.
+pub(crate) async fn accept(listener: TcpListener, to_core: ToCore, limits: Limits) {
+    // Beyond the number at which the core closes idle clients there is room for a quarter more: the others wait
+    // in the listener's queue, so that descriptors never run out.
+    let room = Arc::new(Semaphore::new(limits.clients + limits.clients / 4));
+    let mut next = 0;
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let client = ClientId(next);
+                next += 1;
+                let to_core = to_core.clone();
+                tokio::task::spawn_local(async move {
+                    serve(stream, client, &to_core).await;
+                    drop(permit);
+                });
+            }
+            Err(e) => {
+                eprintln!("accepting clients: {e}");
+                sleep(Duration::from_millis(10)).await; // against spinning while descriptors are short
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, client: ClientId, to_core: &ToCore) {
+    let _ = stream.set_nodelay(true);
+    // The reply, and one order to close on top of it.
+    let (to_client, orders) = mpsc::channel(4);
+    if to_core.send(Input::Client(client, to_client)).await.is_err() {
+        return;
+    }
+    let mut session = Session { stream, client, to_core, orders, input: BytesMut::new(), closing: false };
+    let _ = session.run().await; // an error here is the client's own: it has gone
+    let _ = to_core.send(Input::Event(Event::ClientClosed(client))).await;
+}
+
+/// Why a request is answered by the front itself.
+struct Reject {
+    status: &'static str,
+    why: &'static str,
+}
+
+const fn bad(why: &'static str) -> Reject {
+    Reject { status: "400 Bad Request", why }
+}
+
+/// One request as read.
+struct Request {
+    event: Event,
+    keep_alive: bool,
+}
+
+struct Session<'a> {
+    stream: TcpStream,
+    client: ClientId,
+    to_core: &'a ToCore,
+    orders: mpsc::Receiver<ToClient>,
+    input: BytesMut,
+    /// Ends after the request under way.
+    closing: bool,
+}
+
+impl Session<'_> {
+    async fn run(&mut self) -> io::Result<()> {
+        loop {
+            match self.request().await? {
+                None => return self.linger().await,
+                Some(Ok(request)) => {
+                    let _ = self.to_core.send(Input::Event(request.event)).await;
+                    let Some((reply, close)) = self.reply().await? else { return Ok(()) };
+                    let close = close || self.closing || !request.keep_alive;
+                    self.write(&render(reply, close)).await?;
+                    if close {
+                        return self.linger().await;
+                    }
+                }
+                Some(Err(reject)) => {
+                    let _ = self.to_core.send(Input::Event(Event::Malformed)).await;
+                    // Where the next request begins cannot be known now.
+                    let body = format!("{}\n", reject.why);
+                    self.write(&response(reject.status, "text/plain", "", body.as_bytes(), true)).await?;
+                    return self.linger().await;
+                }
+            }
+        }
+    }
+
+    /// Reads one request; none where the connection ends between requests.
+    async fn request(&mut self) -> io::Result<Option<Result<Request, Reject>>> {
+        let mut by = Instant::now() + IDLE;
+        let mut begun = false;
+        loop {
+            if !begun && !self.input.is_empty() {
+                (begun, by) = (true, Instant::now() + REQUEST_WITHIN);
+            }
+            match self.parse() {
+                Ok(ControlFlow::Break(request)) => return Ok(Some(Ok(request))),
+                Ok(ControlFlow::Continue(expects)) => {
+                    if expects {
+                        self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                    }
+                }
+                Err(reject) => return Ok(Some(Err(reject))),
+            }
+            if self.closing && !begun {
+                return Ok(None);
+            }
+            tokio::select! {
+                read = timeout_at(by, self.stream.read_buf(&mut self.input)) => match read {
+                    Ok(Ok(0)) => return Ok(None),
+                    Ok(read) => drop(read?),
+                    Err(_) if begun => {
+                        let late = Reject { status: "408 Request Timeout", why: "the request did not come in time" };
+                        return Ok(Some(Err(late)));
+                    }
+                    Err(_) => return Ok(None),
+                },
+                order = self.orders.recv() => match order {
+                    Some(ToClient::Close) => self.closing = true,
+                    Some(ToClient::Reply(..)) => {}
+                    None => return Ok(None),
+                },
+            }
+        }
+    }
+
+    /// Takes a whole request off the input; else whether the client waits for a word before it sends the body.
+    fn parse(&mut self) -> Result<ControlFlow<Request, bool>, Reject> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut head = httparse::Request::new(&mut headers);
+        let used = match head.parse(&self.input) {
+            Ok(httparse::Status::Complete(used)) if used <= HEAD_MOST => used,
+            Ok(httparse::Status::Partial) if self.input.len() <= HEAD_MOST => {
+                return Ok(ControlFlow::Continue(false));
+            }
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+                let status = "431 Request Header Fields Too Large";
+                return Err(Reject { status, why: "the headers are too long" });
+            }
+            Err(_) => return Err(bad("no HTTP request")),
+        };
+        let header = |name: &str| {
+            let all = head.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+            all.map(|h| std::str::from_utf8(h.value).map(str::trim)).next().transpose()
+        };
+        let header = |name: &str| header(name).map_err(|_| bad("a header that is no text"));
+        let over_long = Reject { status: "413 Content Too Large", why: "the body is over 64 KiB" };
+        let length = match header("content-length")? {
+            None => None,
+            Some(n) if !n.is_empty() && n.bytes().all(|b| b.is_ascii_digit()) => match n.parse::<usize>() {
+                Ok(n) if n <= BODY_MOST => Some(n),
+                _ => return Err(over_long),
+            },
+            Some(_) => return Err(bad("Content-Length is no number")),
+        };
+        let chunked = match header("transfer-encoding")? {
+            None => false,
+            // Both together are how requests are smuggled past a front.
+            Some(_) if length.is_some() => return Err(bad("a body with both a length and chunks")),
+            Some(coding) if coding.eq_ignore_ascii_case("chunked") => true,
+            Some(_) => return Err(Reject { status: "501 Not Implemented", why: "unknown transfer coding" }),
+        };
+        let mut rest = BytesMut::new();
+        let body = if chunked {
+            // Parsed anew with every read: bodies are small, and nothing is kept between reads.
+            rest.extend_from_slice(&self.input[used..]);
+            let mut body = BytesMut::new();
+            let done = Chunks::default().take(&mut rest, &mut body).map_err(|_| bad("a bad chunk"))?;
+            if body.len() > BODY_MOST || rest.len() > BODY_MOST {
+                return Err(over_long);
+            }
+            done.then(|| body.freeze())
+        } else {
+            self.input.get(used..used + length.unwrap_or(0)).map(Bytes::copy_from_slice)
+        };
+        let Some(body) = body else {
+            let expects = header("expect")?.is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
+            return Ok(ControlFlow::Continue(expects && self.input.len() == used));
+        };
+        let connection = header("connection")?.unwrap_or("").to_ascii_lowercase();
+        let keep_alive = match head.version {
+            Some(0) => connection.contains("keep-alive"),
+            _ => !connection.contains("close"),
+        };
+        let path = head.path.unwrap_or("").split('?').next().unwrap_or("");
+        let event = match (head.method.unwrap_or(""), path) {
+            ("GET", "/healthz") => Event::HealthAsked(self.client),
+            ("GET", "/metrics") => Event::CountersAsked(self.client),
+            ("POST", path) if path == "/api" || path.starts_with("/api/") => {
+                Event::Query(self.client, query(&header, &body)?)
+            }
+            (_, "/healthz" | "/metrics") => return Err(not_allowed()),
+            (_, path) if path == "/api" || path.starts_with("/api/") => return Err(not_allowed()),
+            _ => return Err(Reject { status: "404 Not Found", why: "nothing is here" }),
+        };
+        let left = if chunked { rest.len() } else { self.input.len() - used - body.len() };
+        self.input.advance(self.input.len() - left);
+        Ok(ControlFlow::Break(Request { event, keep_alive }))
+    }
+
+    /// Waits for the reply; none where the client leaves before.
+    async fn reply(&mut self) -> io::Result<Option<(Reply, bool)>> {
+        loop {
+            tokio::select! {
+                order = self.orders.recv() => match order {
+                    Some(ToClient::Reply(reply, close)) => return Ok(Some((reply, close))),
+                    Some(ToClient::Close) => self.closing = true,
+                    None => return Ok(None),
+                },
+                // Only a client that leaves, or sends ahead, makes itself heard now.
+                read = self.stream.read_buf(&mut self.input), if self.input.len() < HEAD_MOST + BODY_MOST => {
+                    if read? == 0 {
+                        return Ok(None);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        // A client that reads nothing must not keep its answer here for ever.
+        timeout(WRITE_WITHIN, self.stream.write_all(bytes)).await?
+    }
+
+    /// Ends the connection so that what was written arrives.
+    async fn linger(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let until = Instant::now() + LINGER;
+        let mut scrap = [0; 1024];
+        while let Ok(Ok(1..)) = timeout_at(until, self.stream.read(&mut scrap)).await {}
+        Ok(())
+    }
+}
+
+const fn not_allowed() -> Reject {
+    Reject { status: "405 Method Not Allowed", why: "not with this method" }
+}
+
+#[derive(Deserialize)]
+struct Body {
+    ranges: Vec<Range>,
+    predicate: String,
+}
+
+#[derive(Deserialize)]
+struct Range {
+    range: u32,
+    portion: f64,
+    price: Option<f64>,
+}
+
+/// Reads a query from its headers and body.
+fn query<'h>(
+    header: &impl Fn(&str) -> Result<Option<&'h str>, Reject>,
+    body: &[u8],
+) -> Result<NewQuery, Reject> {
+    let name = header("req-id")?.ok_or(bad("Req-Id is missing"))?;
+    // Node frames are lines of words: a name with blanks in it would break them.
+    if name.is_empty() || name.len() > 128 || !name.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err(bad("Req-Id is no word"));
+    }
+    let deadline = header("req-deadline")?.ok_or(bad("Req-Deadline is missing"))?;
+    let text = std::str::from_utf8(body).map_err(|_| bad("the body is no text"))?;
+    let body: Body = json::from_str(text).map_err(|_| bad("the body is no query"))?;
+    let part =
+        |r: &Range| NewPart { shard: r.range, weight: r.portion, cost_hint: r.price.map(|us| us / 1e3) };
+    Ok(NewQuery {
+        name: name.into(),
+        class: header("req-kind")?.ok_or(bad("Req-Kind is missing"))?.to_owned(),
+        tenant: header("req-owner")?.map(str::to_owned),
+        time_left: millis(deadline).ok_or(bad("Req-Deadline is no time"))?,
+        retry: header("req-retry")? == Some("1"),
+        text: body.predicate.into(),
+        parts: body.ranges.iter().map(part).collect(),
+    })
+}
+
+/// A number with its unit, `m` for milliseconds or `u` for microseconds.
+fn millis(text: &str) -> Option<Millis> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let scale = match unit {
+        "m" => 1.0,
+        "u" => 1e-3,
+        _ => return None,
+    };
+    let number = number.parse::<f64>().ok()? * scale;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
+
+#[derive(Serialize)]
+struct Answer {
+    total: bool,
+    answers: Vec<Hit>,
+}
+
+#[derive(Serialize)]
+struct Hit {
+    range: u32,
+    blob: String,
+}
+
+fn render(reply: Reply, close: bool) -> Vec<u8> {
+    let plain = |status, body: &str| response(status, "text/plain", "", body.as_bytes(), close);
+    match reply {
+        Reply::Answer { whole, values } => {
+            let hit = |(range, value): (u32, Bytes)| Hit {
+                range,
+                blob: String::from_utf8_lossy(&value).into_owned(),
+            };
+            let answer = Answer { total: whole, answers: values.into_iter().map(hit).collect() };
+            response("200 OK", "application/json", "", json::to_string(&answer).as_bytes(), close)
+        }
+        Reply::Refused { retry_after } => {
+            let advice =
+                retry_after.map(|ms| format!("Retry-After: {:.3}\r\n", ms / 1e3)).unwrap_or_default();
+            response("503 Service Unavailable", "text/plain", &advice, b"refused\n", close)
+        }
+        Reply::Failed => plain("502 Bad Gateway", "failed\n"),
+        Reply::Expired => plain("504 Gateway Timeout", "expired\n"),
+        Reply::Unusable(why) => plain("400 Bad Request", &format!("{why}\n")),
+        Reply::Health { ready: true } => plain("200 OK", "ready\n"),
+        Reply::Health { ready: false } => plain("503 Service Unavailable", "not ready\n"),
+        Reply::Counters(text) => plain("200 OK", &text),
+    }
+}
+
+fn response(status: &str, kind: &str, more: &str, body: &[u8], close: bool) -> Vec<u8> {
+    let connection = if close { "Connection: close\r\n" } else { "" };
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n{more}{connection}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
--- /dev/null
+++ b/src/net/leaf.rs
@@ -0,0 +1,299 @@
+//! Connections to index nodes in the platform's frames: a length of four bytes (most significant first), a
+//! letter, and the rest.
+
+use super::{Input, ToCore, ToNode};
+use crate::api::LoadReport;
+use crate::core::{AttemptId, CallPart, ConnId, End, Event};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::{fmt, io};
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// No frame is longer: against a node that names a length this mixer cannot hold.
+const FRAME_MOST: usize = 1 << 20;
+/// Most bytes read at once.
+const READ: usize = 16 << 10;
+
+/// What a node sent that is no frame of the protocol.
+#[derive(Debug)]
+enum BadFrame {
+    Length(usize),
+    Letter(u8),
+    Line,
+    /// The node's own words: it could not use ours.
+    Told(String),
+}
+
+impl fmt::Display for BadFrame {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Length(n) => write!(f, "a frame of {n} bytes"),
+            Self::Letter(b) => write!(f, "a frame of unknown letter {:?}", char::from(*b)),
+            Self::Line => write!(f, "an answer that cannot be read"),
+            Self::Told(words) => write!(f, "the node could not use a frame: {words}"),
+        }
+    }
+}
+
+/// Why a connection has ended.
+enum Ended {
+    /// By order of the core.
+    Ordered,
+    Io(io::Error),
+    Bad(BadFrame),
+}
+
+impl From<io::Error> for Ended {
+    fn from(e: io::Error) -> Self {
+        Ended::Io(e)
+    }
+}
+
+/// Serves one connection until either side ends it, and says so once it is closed.
+pub(crate) async fn run(conn: ConnId, address: Arc<str>, orders: mpsc::Receiver<ToNode>, to_core: ToCore) {
+    let why = match connect(conn, &address, orders, &to_core).await {
+        Ended::Ordered => String::new(),
+        Ended::Io(e) => e.to_string(),
+        Ended::Bad(e) => e.to_string(),
+    };
+    let _ = to_core.send(Input::Event(Event::Broken { conn, why })).await;
+}
+
+async fn connect(conn: ConnId, address: &str, mut orders: mpsc::Receiver<ToNode>, to_core: &ToCore) -> Ended {
+    let stream = tokio::select! {
+        connected = TcpStream::connect(address) => match connected {
+            Ok(stream) => stream,
+            Err(e) => return Ended::Io(e),
+        },
+        // Until it is up the core orders nothing but its end.
+        _ = orders.recv() => return Ended::Ordered,
+    };
+    let _ = stream.set_nodelay(true);
+    let _ = to_core.send(Input::Event(Event::Connected(conn))).await;
+    let mut link = Link::new(conn, to_core);
+    let ended = link.serve(&stream, &mut orders).await;
+    if !matches!(ended, Ended::Io(_)) {
+        // A close must be an end at once: nothing of what is given up by it may leave later.
+        let _ = stream.set_zero_linger();
+    }
+    ended
+}
+
+/// A connection that is up.
+struct Link<'a> {
+    conn: ConnId,
+    to_core: &'a ToCore,
+    output: BytesMut,
+    /// Bytes put into `output` and bytes written, since the start.
+    put: u64,
+    sent: u64,
+    /// Where the messages that are not written whole end, and how many were written.
+    ends: VecDeque<u64>,
+    written: u64,
+    input: BytesMut,
+    /// Attempts out, by their name in frames and back.
+    out: HashMap<String, AttemptId>,
+    names: HashMap<AttemptId, String>,
+}
+
+impl<'a> Link<'a> {
+    fn new(conn: ConnId, to_core: &'a ToCore) -> Self {
+        Link {
+            conn,
+            to_core,
+            output: BytesMut::new(),
+            put: 0,
+            sent: 0,
+            ends: VecDeque::new(),
+            written: 0,
+            input: BytesMut::new(),
+            out: HashMap::new(),
+            names: HashMap::new(),
+        }
+    }
+
+    async fn serve(&mut self, stream: &TcpStream, orders: &mut mpsc::Receiver<ToNode>) -> Ended {
+        loop {
+            let interest = match self.output.is_empty() {
+                true => Interest::READABLE,
+                false => Interest::READABLE | Interest::WRITABLE,
+            };
+            let step = tokio::select! {
+                order = orders.recv() => match order {
+                    Some(order) => {
+                        self.encode(order);
+                        self.write(stream).await
+                    }
+                    None => return Ended::Ordered,
+                },
+                ready = stream.ready(interest) => match ready {
+                    Err(e) => Err(e.into()),
+                    Ok(ready) if ready.is_writable() && !self.output.is_empty() => self.write(stream).await,
+                    Ok(_) => self.read(stream).await,
+                },
+            };
+            if let Err(ended) = step {
+                return ended;
+            }
+        }
+    }
+
+    /// Puts a message into the output.
+    fn encode(&mut self, order: ToNode) {
+        let before = self.output.len();
+        match order {
+            ToNode::Call(parts) if parts.is_empty() => {}
+            ToNode::Call(parts) => {
+                let mut rest = BytesMut::new();
+                for p in parts {
+                    self.put_part(&mut rest, p);
+                }
+                self.frame(b'm', &rest);
+            }
+            ToNode::GiveUp(attempt) => {
+                if let Some(name) = self.names.remove(&attempt) {
+                    // The same part may be out again under the same name.
+                    if self.out.get(&name) == Some(&attempt) {
+                        self.out.remove(&name);
+                    }
+                    self.frame(b'n', name.as_bytes());
+                }
+            }
+            ToNode::Probe => self.frame(b'p', b""),
+        }
+        self.put += (self.output.len() - before) as u64;
+        self.ends.push_back(self.put);
+    }
+
+    fn put_part(&mut self, rest: &mut BytesMut, p: CallPart) {
+        let name = format!("{}.{}", p.query, p.shard);
+        let wait = p.wait.max(1.0).ceil();
+        rest.put(format!("{name} {} d={wait} {}\n", p.shard, p.text.len()).as_bytes());
+        rest.put(p.text.as_bytes());
+        self.out.insert(name.clone(), p.attempt);
+        self.names.insert(p.attempt, name);
+    }
+
+    fn frame(&mut self, letter: u8, rest: &[u8]) {
+        self.output.put_u32(rest.len() as u32 + 1);
+        self.output.put_u8(letter);
+        self.output.put(rest);
+    }
+
+    /// Writes what the node takes now and tells the core which messages are out whole.
+    async fn write(&mut self, stream: &TcpStream) -> Result<(), Ended> {
+        let mut failed = None;
+        while !self.output.is_empty() {
+            match stream.try_write(&self.output) {
+                Ok(n) => {
+                    self.output.advance(n);
+                    self.sent += n as u64;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => {
+                    failed = Some(e);
+                    break;
+                }
+            }
+        }
+        let before = self.written;
+        while self.ends.front().is_some_and(|end| *end <= self.sent) {
+            self.ends.pop_front();
+            self.written += 1;
+        }
+        if self.written > before {
+            self.tell(Event::Written(self.conn, self.written)).await;
+        }
+        failed.map_or(Ok(()), |e| Err(e.into()))
+    }
+
+    async fn read(&mut self, stream: &TcpStream) -> Result<(), Ended> {
+        self.input.reserve(READ);
+        match stream.try_read_buf(&mut self.input) {
+            Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(e) => return Err(e.into()),
+        }
+        while let Some(frame) = next_frame(&mut self.input).map_err(Ended::Bad)? {
+            if let Some(event) = self.decode(frame).map_err(Ended::Bad)? {
+                self.tell(event).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// What a frame tells the core, if anything.
+    fn decode(&mut self, mut frame: Bytes) -> Result<Option<Event>, BadFrame> {
+        let letter = frame.get_u8();
+        match letter {
+            b'q' => {
+                let end = frame.iter().position(|b| *b == b'\n').ok_or(BadFrame::Line)?;
+                let line = frame.split_to(end);
+                frame.advance(1);
+                let words: Vec<&str> =
+                    std::str::from_utf8(&line).map_err(|_| BadFrame::Line)?.split(' ').collect();
+                let [name, end, _score, report] = words[..] else { return Err(BadFrame::Line) };
+                let end = match end {
+                    "good" => End::Good,
+                    "bad" => End::Bad,
+                    "later" => End::Later,
+                    _ => return Err(BadFrame::Line),
+                };
+                // Values are passed on as text: one that is none could not be passed as it was given.
+                if std::str::from_utf8(&frame).is_err() {
+                    return Err(BadFrame::Line);
+                }
+                let report = load_report(report);
+                // An answer to what was given up before it came is of no interest.
+                let Some(attempt) = self.out.remove(name) else { return Ok(None) };
+                self.names.remove(&attempt);
+                Ok(Some(Event::PartEnded { conn: self.conn, attempt, end, value: frame, report }))
+            }
+            b'p' => {
+                let words = std::str::from_utf8(&frame).map_err(|_| BadFrame::Line)?.trim();
+                let report = load_report(words);
+                Ok(Some(Event::ProbeEnded { conn: self.conn, good: words != "bad", report }))
+            }
+            b'r' => Err(BadFrame::Told(String::from_utf8_lossy(&frame).into_owned())),
+            other => Err(BadFrame::Letter(other)),
+        }
+    }
+
+    async fn tell(&self, event: Event) {
+        let _ = self.to_core.send(Input::Event(event)).await;
+    }
+}
+
+/// Takes a whole frame, letter and rest, off the input.
+fn next_frame(input: &mut BytesMut) -> Result<Option<Bytes>, BadFrame> {
+    let Some(head) = input.first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if length == 0 || length > FRAME_MOST {
+        return Err(BadFrame::Length(length));
+    }
+    if input.len() < 4 + length {
+        return Ok(None);
+    }
+    input.advance(4);
+    Ok(Some(input.split_to(length).freeze()))
+}
+
+/// A load report in the form `inflight=7,util=0.61`; names that are unknown are passed over.
+fn load_report(words: &str) -> Option<LoadReport> {
+    let mut report = LoadReport::default();
+    for pair in words.split(',') {
+        let Some((name, figure)) = pair.split_once('=') else { continue };
+        let Ok(figure) = figure.parse::<f64>() else { continue };
+        match name {
+            "queue" => report.queue = Some(figure),
+            "inflight" => report.inflight = Some(figure),
+            "util" => report.utilization = Some(figure),
+            _ => {}
+        }
+    }
+    (report != LoadReport::default()).then_some(report)
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,157 @@
+//! The sockets: each part of this module only turns bytes into [`Event`]s of the core, and its [`Effect`]s into
+//! bytes. One task, [`serve`], holds the core's state; every connection has a task of its own, so that none
+//! can hold up the others.
+
+mod chunked;
+mod discovery;
+mod http;
+mod leaf;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::core::{AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, reduce};
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+/// Events that wait for the core, at most: who brings more waits.
+const INBOX: usize = 1024;
+/// Orders that wait for a connection's task, at most; one that takes none for so long is lost.
+const ORDERS: usize = 256;
+
+/// What the tasks send to the one that holds the core.
+pub(crate) enum Input {
+    /// A client has come; what it is told goes there.
+    Client(ClientId, mpsc::Sender<ToClient>),
+    /// News for the core.
+    Event(Event),
+}
+
+/// What a client's task is told.
+pub(crate) enum ToClient {
+    /// The reply to its request, and whether the connection ends with it.
+    Reply(Reply, bool),
+    /// Close once no request is under way.
+    Close,
+}
+
+/// What a node connection's task is told.
+pub(crate) enum ToNode {
+    Call(Vec<CallPart>),
+    GiveUp(AttemptId),
+    Probe,
+}
+
+/// The way to the core; the core's end is that of the program.
+pub(crate) type ToCore = mpsc::Sender<Input>;
+
+/// Runs the mixer until it has been asked to end and has answered what it held.
+///
+/// # Errors
+/// What keeps the program from starting.
+pub async fn serve(config: Config) -> io::Result<()> {
+    let clock = Rc::new(Clock::system());
+    let limits = Limits::of(config.sockets);
+    let mut state = State::new(config.site, limits, config.seed).map_err(io::Error::other)?;
+    let listener = TcpListener::bind(config.listen).await?;
+    let (to_core, mut inbox) = mpsc::channel(INBOX);
+    let accepting = tokio::task::spawn_local(http::accept(listener, to_core.clone(), limits));
+    let generation = config.known.generation;
+    let wall_ahead = clock.wall_ahead();
+    let known = Event::Nodes { list: config.known, wall_ahead };
+    let mut hub = Hub { to_core, clients: HashMap::new(), conns: HashMap::new(), accepting };
+    hub.carry_out(reduce(&mut state, clock.now(), known));
+    tokio::task::spawn_local(discovery::watch(
+        config.discovery,
+        generation,
+        hub.to_core.clone(),
+        clock.clone(),
+    ));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut report = signal(SignalKind::user_defined1())?;
+    eprintln!("sailmux {}: serving on {}", config.name, config.listen);
+    let done = loop {
+        let wake = state.next_timer().unwrap_or_else(|| clock.now() + 1000.0);
+        let wake = Instant::from_std(clock.instant(wake));
+        let event = tokio::select! {
+            input = inbox.recv() => match input {
+                Some(Input::Event(event)) => event,
+                Some(Input::Client(client, to_client)) => {
+                    hub.clients.insert(client, to_client);
+                    Event::ClientOpened(client)
+                }
+                None => break Ok(()),
+            },
+            () = sleep_until(wake) => Event::Tick,
+            _ = terminate.recv() => Event::Terminate,
+            _ = interrupt.recv() => Event::Terminate,
+            _ = report.recv() => {
+                eprint!("{}", state.counters().text());
+                continue;
+            }
+        };
+        let effects = reduce(&mut state, clock.now(), event);
+        if hub.carry_out(effects) {
+            break Ok(());
+        }
+    };
+    eprint!("{}", state.counters().text());
+    done
+}
+
+/// Where effects go.
+struct Hub {
+    to_core: ToCore,
+    clients: HashMap<ClientId, mpsc::Sender<ToClient>>,
+    conns: HashMap<ConnId, mpsc::Sender<ToNode>>,
+    accepting: tokio::task::JoinHandle<()>,
+}
+
+impl Hub {
+    /// Carries out effects in order, waiting for nobody; true at the end of all.
+    fn carry_out(&mut self, effects: Vec<Effect>) -> bool {
+        for effect in effects {
+            match effect {
+                Effect::Reply { client, reply, close } => {
+                    if let Some(to) = self.clients.get(&client) {
+                        // A client has one reply to come: there is room, or the client's task is gone.
+                        let _ = to.try_send(ToClient::Reply(reply, close));
+                    }
+                }
+                Effect::CloseClient(client) => {
+                    if let Some(to) = self.clients.get(&client) {
+                        let _ = to.try_send(ToClient::Close);
+                    }
+                }
+                Effect::Dial(conn, address) => {
+                    let (to_node, orders) = mpsc::channel(ORDERS);
+                    self.conns.insert(conn, to_node);
+                    tokio::task::spawn_local(leaf::run(conn, address, orders, self.to_core.clone()));
+                }
+                Effect::Call(conn, parts) => self.order(conn, ToNode::Call(parts)),
+                Effect::GiveUp(conn, attempt) => self.order(conn, ToNode::GiveUp(attempt)),
+                Effect::Probe(conn) => self.order(conn, ToNode::Probe),
+                // Its task ends with its orders, and says so.
+                Effect::Close(conn) => drop(self.conns.remove(&conn)),
+                Effect::StopAccepting => self.accepting.abort(),
+                Effect::Exit => return true,
+                Effect::Log(text) => eprintln!("{text}"),
+            }
+        }
+        self.clients.retain(|_, to| !to.is_closed());
+        self.conns.retain(|_, to| !to.is_closed());
+        false
+    }
+
+    fn order(&mut self, conn: ConnId, order: ToNode) {
+        // A task that takes no orders any more is ended: the core hears of its break and asks nothing new of it.
+        if self.conns.get(&conn).is_some_and(|to| to.try_send(order).is_err()) {
+            self.conns.remove(&conn);
+        }
+    }
+}
