--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -58,6 +58,7 @@
     let limits = Limits::of(config.sockets);
     let mut state = State::new(config.site, limits, config.seed).map_err(io::Error::other)?;
     let listener = TcpListener::bind(config.listen).await?;
+    let address = listener.local_addr()?;
     let (to_core, mut inbox) = mpsc::channel(INBOX);
     let accepting = tokio::task::spawn_local(http::accept(listener, to_core.clone(), limits));
     let generation = config.known.generation;
@@ -74,7 +75,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut report = signal(SignalKind::user_defined1())?;
-    eprintln!("sailmux {}: serving on {}", config.name, config.listen);
+    eprintln!("sailmux {}: serving on {address}", config.name);
     let done = loop {
         let wake = state.next_timer().unwrap_or_else(|| clock.now() + 1000.0);
         let wake = Instant::from_std(clock.instant(wake));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A caller of the module that remembers what is out.
 #![allow(dead_code)]
 
+pub mod process;
+
 use sailmux::Balancer;
 use sailmux::api::*;
 
--- /dev/null
+++ b/tests/common/process.rs
@@ -0,0 +1,412 @@
+//! The real program as a process, and what it talks to: clients, index nodes and discovery, each as small as
+//! the tests allow. Everything waits on events; ports are the system's choice.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes: a wait that long has failed.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// A folder of its own for one test.
+pub fn scratch(name: &str) -> std::path::PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let unique = format!("{name}-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(unique);
+    std::fs::create_dir_all(&dir).expect("a folder can be made");
+    dir
+}
+
+/// One line of discovery's list.
+#[derive(Clone)]
+pub struct Listed {
+    pub name: &'static str,
+    pub address: String,
+    pub cell: u32,
+    pub lifecycle: &'static str,
+    pub started: u64,
+}
+
+pub fn listed(name: &'static str, address: impl ToString, cell: u32) -> Listed {
+    Listed { name, address: address.to_string(), cell, lifecycle: "Ready", started: 0 }
+}
+
+pub fn list(generation: u64, reset: bool, nodes: &[Listed]) -> String {
+    let row = |n: &Listed| {
+        format!(
+            r#"{{"instanceId":"{}","hostPort":"{}","zone":"z","machineType":"k","cell":{},"lifecycle":"{}","weight":1.0,"startedAtMs":{}}}"#,
+            n.name, n.address, n.cell, n.lifecycle, n.started
+        )
+    };
+    let rows: Vec<String> = nodes.iter().map(row).collect();
+    format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, rows.join(","))
+}
+
+/// What a mixer is started with.
+pub struct Setup {
+    pub known: String,
+    pub discovery: String,
+    pub max_attempts: u32,
+    pub hard_limit_ms: u32,
+    pub keepalive_ms: u32,
+    pub calls_per_connection: u32,
+    pub operator: Option<String>,
+}
+
+impl Setup {
+    pub fn new(nodes: &[Listed]) -> Self {
+        // Nobody listens at a port that has just been given back.
+        let nobody = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+        Setup {
+            known: list(1, true, nodes),
+            discovery: nobody.to_string(),
+            max_attempts: 3,
+            hard_limit_ms: 10_000,
+            keepalive_ms: 30_000,
+            calls_per_connection: 32,
+            operator: None,
+        }
+    }
+
+    /// The configuration as the platform writes it.
+    pub fn config(&self) -> String {
+        let Setup {
+            known, discovery, max_attempts, hard_limit_ms, keepalive_ms, calls_per_connection, ..
+        } = self;
+        format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},
+"settings":{{"categories":[{{"aimMs":{hard_limit_ms},"effect":"retryable","hardLimitMs":{hard_limit_ms},
+"lateValue":0,"name":"c","worth":1}}],"clients":{{"marksRetry":false}},"discovery":"pushed",
+"invariants":{{"coldShare":0.3,"warmAfterMs":10000,"mustAskInMs":10000}},
+"limits":{{"cancel":true,"maxAttempts":{max_attempts},"maxOpen":2000,"maxRetryAfterMs":2000,"probes":false,
+"retryAfter":true,"secondCopies":false,"dialTimeoutMs":250,"keepaliveMs":{keepalive_ms},
+"streamsPerConn":{calls_per_connection}}},
+"periodMs":5,"replicasOfMe":1,"report":{{"how":"off"}},"specifics":{{"classPartial":[0.9],"completeFrom":[1],
+"fetchParts":[0],"floorByClass":[1],"perCall":1,"positions":3,"shards":3,"width":1}},
+"tenants":[{{"name":"acme","quotaPerS":10}}],"zone":"z","zones":["z"]}}}}"#
+        )
+    }
+
+    pub fn start(&self) -> Mixer {
+        Mixer::start(&self.config(), self.operator.as_deref())
+    }
+}
+
+/// A running mixer; killed when dropped.
+pub struct Mixer {
+    child: Child,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    lines: Receiver<String>,
+    seen: Vec<String>,
+}
+
+/// Starts the program with a configuration, and an operator's file if there is one.
+pub fn spawn(config: &str, operator: Option<&str>) -> Child {
+    let dir = scratch("mixer");
+    let path = dir.join("config.json");
+    std::fs::write(&path, config).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sailmux"));
+    command.env("RELAY_CONFIG", &path).stderr(Stdio::piped());
+    for told in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "SAILMUX_OPERATOR"] {
+        command.env_remove(told);
+    }
+    if let Some(text) = operator {
+        let path = dir.join("operator.yaml");
+        std::fs::write(&path, text).expect("written");
+        command.env("SAILMUX_OPERATOR", path);
+    }
+    command.spawn().expect("the mixer starts")
+}
+
+impl Mixer {
+    pub fn start(config: &str, operator: Option<&str>) -> Self {
+        let mut child = spawn(config, operator);
+        let (to, lines) = channel();
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut mixer = Mixer { child, address: nowhere, lines, seen: Vec::new() };
+        let address = mixer.told("serving on ");
+        mixer.address = address.parse().expect("an address");
+        mixer
+    }
+
+    /// Waits for a line of the log and gives what follows the words; lines already seen count too.
+    pub fn told(&mut self, words: &str) -> String {
+        let after = |l: &String| l.split_once(words).map(|(_, after)| after.to_owned());
+        if let Some(found) = self.seen.iter().find_map(after) {
+            return found;
+        }
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|_| panic!("the log never said {words:?}: {:#?}", self.seen));
+            self.seen.push(line.clone());
+            if let Some(found) = after(&line) {
+                return found;
+            }
+        }
+    }
+
+    /// Where the mixer serves Flight.
+    pub fn flight(&mut self) -> String {
+        self.told("flight on ")
+    }
+
+    /// The counters as they stand.
+    pub fn counters(&self) -> HashMap<String, u64> {
+        let reply = Client::connect(self.address).ask("GET /metrics HTTP/1.1\r\n\r\n");
+        let lines = reply.body.lines().filter(|l| !l.starts_with('#'));
+        let pair = |l: &str| {
+            let (name, count) = l.strip_prefix("sailmux_")?.split_once(' ')?;
+            Some((name.to_owned(), count.parse().ok()?))
+        };
+        lines.filter_map(pair).collect()
+    }
+
+    /// Waits until a counter has reached a number.
+    pub fn wait_for(&self, counter: &str, number: u64) {
+        let end = Instant::now() + PATIENCE;
+        while self.counters()[counter] < number {
+            assert!(Instant::now() < end, "{counter} never reached {number}: {:#?}", self.counters());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it ran");
+        self.child.wait().expect("it ended");
+    }
+
+    /// Waits for the end of the process; its last words are then in the log.
+    pub fn ended(&mut self) -> ExitStatus {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            match self.child.try_wait().expect("it can be waited for") {
+                Some(status) => return status,
+                None => assert!(Instant::now() < end, "the mixer never ended"),
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Mixer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A reply of the mixer.
+#[derive(Debug)]
+pub struct Response {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Response {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let name = format!("{name}: ");
+        self.head.lines().find_map(|l| l.strip_prefix(name.as_str()))
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    stream: BufReader<TcpStream>,
+}
+
+/// A query as clients send it.
+pub fn query(id: &str, deadline: &str, shards: &[u32]) -> String {
+    let range = |s: &u32| format!(r#"{{"range":{s},"portion":{}}}"#, 1.0 / shards.len() as f64);
+    let ranges: Vec<String> = shards.iter().map(range).collect();
+    let body = format!(r#"{{"ranges":[{}],"predicate":"c41e77d0"}}"#, ranges.join(","));
+    format!(
+        "POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nReq-Id: {id}\r\nReq-Kind: c\r\n\
+         Req-Owner: acme\r\nReq-Deadline: {deadline}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("the mixer accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Client { stream: BufReader::new(stream) }
+    }
+
+    pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.get_mut().write_all(bytes.as_ref()).expect("the mixer reads");
+    }
+
+    pub fn ask(&mut self, bytes: impl AsRef<[u8]>) -> Response {
+        self.send(bytes);
+        self.response()
+    }
+
+    pub fn response(&mut self) -> Response {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            assert_ne!(
+                self.stream.read_line(&mut head).expect("a reply in time"),
+                0,
+                "cut off after {head:?}"
+            );
+        }
+        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+        let mut response = Response { status, head, body: String::new() };
+        let length = response.header("Content-Length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        self.stream.read_exact(&mut body).expect("the whole body");
+        response.body = String::from_utf8(body).expect("text");
+        response
+    }
+
+    /// Waits until the mixer closes the connection.
+    pub fn closed(&mut self) {
+        let mut rest = Vec::new();
+        let end = self.stream.read_to_end(&mut rest);
+        assert!(rest.is_empty(), "{:?} before the end", String::from_utf8_lossy(&rest));
+        assert!(end.is_ok() || end.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
+    }
+}
+
+/// An index node's listener in the platform's frames; the test plays the node.
+pub struct Node {
+    pub listener: TcpListener,
+    pub address: SocketAddr,
+}
+
+/// A connection of the mixer to a node.
+pub struct Link {
+    pub stream: TcpStream,
+}
+
+impl Node {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        Node { listener, address }
+    }
+
+    pub fn accept(&self) -> Link {
+        first_of(&[self])
+    }
+}
+
+/// The next connection to any of some nodes.
+pub fn first_of(nodes: &[&Node]) -> Link {
+    let listeners: Vec<&TcpListener> = nodes.iter().map(|n| &n.listener).collect();
+    Link { stream: accept(&listeners) }
+}
+
+/// The next connection to any of some listeners.
+fn accept(listeners: &[&TcpListener]) -> TcpStream {
+    let end = Instant::now() + PATIENCE;
+    listeners.iter().for_each(|l| l.set_nonblocking(true).expect("set"));
+    loop {
+        if let Some((stream, _)) = listeners.iter().find_map(|l| l.accept().ok()) {
+            stream.set_nonblocking(false).expect("set");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            return stream;
+        }
+        assert!(Instant::now() < end, "the mixer never connects");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+impl Link {
+    /// The next frame, letter and rest; none at the end of the connection.
+    pub fn frame(&mut self) -> Option<(char, String)> {
+        let mut length = [0; 4];
+        self.stream.read_exact(&mut length).ok()?;
+        let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+        self.stream.read_exact(&mut frame).ok()?;
+        let rest = String::from_utf8(frame.split_off(1)).expect("text");
+        Some((char::from(frame[0]), rest))
+    }
+
+    /// The id of the part that the next frame brings.
+    pub fn part(&mut self) -> String {
+        let (letter, rest) = self.frame().expect("a call");
+        assert_eq!(letter, 'm', "{rest}");
+        rest.split(' ').next().expect("an id").to_owned()
+    }
+
+    pub fn put(&mut self, letter: char, rest: &str) {
+        let mut frame = (rest.len() as u32 + 1).to_be_bytes().to_vec();
+        frame.push(letter as u8);
+        frame.extend(rest.as_bytes());
+        self.stream.write_all(&frame).expect("the mixer reads");
+    }
+
+    pub fn answer(&mut self, part: &str, end: &str, value: &str) {
+        self.put('q', &format!("{part} {end} 17 -\n{value}"));
+    }
+}
+
+/// Discovery's listener; the test plays it.
+pub struct Discovery {
+    pub listener: TcpListener,
+}
+
+/// An open watch.
+pub struct Watch {
+    stream: BufReader<TcpStream>,
+    /// The request's first line.
+    pub request: String,
+}
+
+impl Discovery {
+    pub fn new() -> Self {
+        Discovery { listener: TcpListener::bind("127.0.0.1:0").expect("a port") }
+    }
+
+    pub fn address(&self) -> String {
+        self.listener.local_addr().expect("bound").to_string()
+    }
+
+    pub fn accept(&self) -> Watch {
+        let mut stream = BufReader::new(accept(&[&self.listener]));
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            stream.read_line(&mut head).expect("a request");
+        }
+        let head_of_answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.get_mut().write_all(head_of_answer.as_bytes()).expect("the mixer reads");
+        Watch { stream, request: head.lines().next().unwrap_or_default().to_owned() }
+    }
+}
+
+impl Watch {
+    pub fn tell(&mut self, line: &str) {
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        self.stream.get_mut().write_all(chunk.as_bytes()).expect("the mixer reads");
+    }
+
+    /// Waits until the mixer gives the watch up.
+    pub fn given_up(&mut self) {
+        self.stream.get_mut().set_read_timeout(Some(PATIENCE)).expect("set");
+        assert_eq!(self.stream.read(&mut [0; 16]).unwrap_or(0), 0);
+    }
+}
+
+/// Runs in the background; the result is waited for with patience.
+pub fn background<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> impl FnOnce() -> T {
+    let (to, from): (Sender<T>, _) = channel();
+    thread::spawn(move || to.send(work()));
+    move || from.recv_timeout(PATIENCE).expect("done in time")
+}
--- /dev/null
+++ b/tests/mixer.rs
@@ -0,0 +1,366 @@
+//! The mixer on sockets: the real program, with the test as its clients, nodes and discovery.
+
+mod common;
+
+use common::process::*;
+use std::io::Write;
+
+/// A mixer with one node for each of the three cells, or fewer.
+fn with_nodes(nodes: &[&Node]) -> Setup {
+    const NAMES: [&str; 3] = ["s0", "s1", "s2"];
+    let listed: Vec<Listed> =
+        nodes.iter().enumerate().map(|(i, n)| listed(NAMES[i], n.address, i as u32)).collect();
+    Setup::new(&listed)
+}
+
+/// A mixer with two nodes that both hold the only shard asked.
+fn with_twins(a: &Node, b: &Node) -> Setup {
+    Setup::new(&[listed("a", a.address, 0), listed("b", b.address, 0)])
+}
+
+#[test]
+fn whole_answer_carries_the_values_as_given() {
+    let nodes = [Node::new(), Node::new()];
+    let mixer = with_nodes(&[&nodes[0], &nodes[1]]).start();
+    let mut client = Client::connect(mixer.address);
+    client.send(query("q1", "9000m", &[0, 1]));
+    let values = ["5be2a07c19f04d63", "a\"b\\c\u{e9}\u{1}"];
+    for (node, (i, value)) in nodes.iter().zip(values.iter().enumerate()) {
+        let mut link = node.accept();
+        let (letter, rest) = link.frame().expect("a call");
+        let (line, text) = rest.split_once('\n').expect("a line");
+        let words: Vec<&str> = line.split(' ').collect();
+        assert_eq!((letter, words[0], words[1]), ('m', format!("q1.{i}").as_str(), i.to_string().as_str()));
+        let wait: u32 = words[2].strip_prefix("d=").and_then(|d| d.parse().ok()).expect("a time to wait");
+        assert!((1..=9000).contains(&wait) && words[3] == "8" && text == "c41e77d0", "{rest}");
+        link.answer(words[0], "good", value);
+        std::mem::forget(link);
+    }
+    let reply = client.response();
+    let body = r#"{"total":true,"answers":[{"range":0,"blob":"5be2a07c19f04d63"},{"range":1,"blob":"a\"b\\cé\u0001"}]}"#;
+    assert_eq!((reply.status, reply.body.as_str()), (200, body));
+    assert_eq!(client.ask("GET /healthz HTTP/1.1\r\n\r\n").status, 200, "the connection is kept");
+}
+
+#[test]
+fn a_chunked_body_is_taken() {
+    let node = Node::new();
+    let mixer = with_nodes(&[&node]).start();
+    let whole = query("q1", "9000000u", &[0]);
+    let (head, body) = whole.split_once("\r\n\r\n").expect("a body");
+    let head = head.replace(&format!("Content-Length: {}", body.len()), "Transfer-Encoding: chunked");
+    let (a, b) = body.split_at(9);
+    let mut client = Client::connect(mixer.address);
+    client.send(format!("{head}\r\n\r\n9\r\n{a}\r\n"));
+    client.send(format!("{:x}\r\n{b}\r\n0\r\n\r\n", b.len()));
+    let mut link = node.accept();
+    let part = link.part();
+    link.answer(&part, "good", "v");
+    assert_eq!(client.response().status, 200);
+}
+
+#[test]
+fn malformed_requests_get_a_4xx_and_are_counted() {
+    let node = Node::new();
+    let mixer = with_nodes(&[&node]).start();
+    let good = query("q1", "900m", &[0]);
+    let long = "x".repeat(70_000);
+    let cases = [
+        ("\0\u{1}\r\n\r\n".to_owned(), 400),
+        (format!("GET / HTTP/1.1\r\nA: {long}\r\n\r\n"), 431),
+        ("GET /nowhere HTTP/1.1\r\n\r\n".to_owned(), 404),
+        ("GET /api/1 HTTP/1.1\r\n\r\n".to_owned(), 405),
+        ("POST /api/1 HTTP/1.1\r\nContent-Length: 70000\r\n\r\n".to_owned(), 413),
+        ("POST /api/1 HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned(), 400),
+        ("POST /api/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".to_owned(), 400),
+        (good.replace("Req-Deadline: 900m", "Req-Deadline: soon"), 400),
+        (good.replace("Req-Id: q1", "Req-Id: q 1"), 400),
+        (good.replace("Req-Kind: c", "Req-Kind: d"), 400),
+        (good.replace("{\"ranges\"", "[\"ranges\""), 400),
+        (query("q1", "900m", &[]), 400),
+        (query("q1", "900m", &[0, 0]), 400),
+        (query("q1", "900m", &[7]), 400),
+        (good.replace("\"range\":0", "\"range\":-1"), 400),
+        (good.replace("\"portion\":1", "\"portion\":-1"), 400),
+    ];
+    for (request, status) in &cases {
+        let reply = Client::connect(mixer.address).ask(request);
+        assert_eq!(reply.status, *status, "{request:.200}");
+    }
+    let counters = mixer.counters();
+    assert_eq!((counters["queries_malformed"], counters["queries_taken"]), (cases.len() as u64, 0));
+}
+
+/// The node must know that the first attempt is over before the second leaves: never two out at once.
+#[test]
+fn a_give_up_is_written_before_the_next_attempt_leaves() {
+    let (a, b) = (Node::new(), Node::new());
+    let mixer = Setup { hard_limit_ms: 1200, ..with_twins(&a, &b) }.start();
+    let mut client = Client::connect(mixer.address);
+    client.send(query("q1", "1200m", &[0]));
+    let mut links = [first_of(&[&a, &b]), first_of(&[&a, &b])];
+    // The second attempt is here: the first link must hold its part and the give-up already.
+    links[0].stream.set_nonblocking(true).expect("set");
+    assert_eq!(links[0].part(), "q1.0");
+    assert_eq!(links[0].frame(), Some(('n', "q1.0".to_owned())));
+    assert_eq!(links[1].part(), "q1.0");
+    // A late answer to what was given up is nobody's: only the second one counts.
+    links[0].answer("q1.0", "good", "late");
+    mixer.wait_for("attempts_timed_out", 1);
+    links[1].answer("q1.0", "good", "in time");
+    let reply = client.response();
+    assert_eq!((reply.status, reply.body.contains("in time")), (200, true), "{reply:?}");
+}
+
+#[test]
+fn every_end_of_an_attempt_is_told_apart() {
+    type Play = fn(&mut Link, &str);
+    let cases: [(&str, Play); 5] = [
+        ("attempts_bad", |link, part| link.answer(part, "bad", "")),
+        ("attempts_rejected", |link, part| link.answer(part, "later", "")),
+        ("attempts_reset", |link, _| drop(link.stream.shutdown(std::net::Shutdown::Both))),
+        ("attempts_reset", |link, _| link.put('x', "no such letter")),
+        ("attempts_reset", |link, _| link.stream.write_all(&[0xff; 8]).expect("the mixer reads")),
+    ];
+    for (counter, play) in cases {
+        let (a, b) = (Node::new(), Node::new());
+        let mixer = with_twins(&a, &b).start();
+        let mut client = Client::connect(mixer.address);
+        client.send(query("q1", "9000m", &[0]));
+        let mut first = first_of(&[&a, &b]);
+        let part = first.part();
+        play(&mut first, &part);
+        let mut second = first_of(&[&a, &b]);
+        let part = second.part();
+        second.answer(&part, "good", "v");
+        assert_eq!(client.response().status, 200);
+        let counters = mixer.counters();
+        assert_eq!(
+            (counters[counter], counters["attempts_good"], counters["attempts_sent"]),
+            (1, 1, 2),
+            "{counter}"
+        );
+    }
+}
+
+#[test]
+fn a_refused_connection_proves_that_the_part_never_ran() {
+    let node = Node::new();
+    let gone = Node::new().address;
+    let mixer = Setup::new(&[listed("a", gone, 0), listed("b", node.address, 0)]).start();
+    let serve = background(move || {
+        let mut link = node.accept();
+        while let Some((_, rest)) = link.frame() {
+            link.answer(rest.split(' ').next().unwrap_or_default(), "good", "v");
+        }
+    });
+    let mut client = Client::connect(mixer.address);
+    for i in 0..20 {
+        assert_eq!(client.ask(query(&format!("q{i}"), "9000m", &[0])).status, 200);
+    }
+    let counters = mixer.counters();
+    assert_eq!((counters["attempts_sent"], counters["attempts_reset"]), (20, 0));
+    assert!(counters["attempts_not_connected"] > 0);
+    drop(mixer);
+    serve();
+}
+
+#[test]
+fn three_attempts_at_most_and_one_final_answer_at_once() {
+    let node = Node::new();
+    let mixer = with_nodes(&[&node]).start();
+    let mut client = Client::connect(mixer.address);
+    client.send(query("q1", "9000m", &[0]));
+    let mut link = node.accept();
+    for _ in 0..3 {
+        let part = link.part();
+        link.answer(&part, "bad", "");
+    }
+    let reply = client.response();
+    let wait: f64 = reply.header("Retry-After").and_then(|w| w.parse().ok()).expect("advice");
+    assert!(reply.status == 503 && wait > 0.0, "{reply:?}");
+    assert_eq!(mixer.counters()["attempts_sent"], 3);
+}
+
+#[test]
+fn a_client_that_leaves_has_its_parts_given_up() {
+    let node = Node::new();
+    let mixer = with_nodes(&[&node]).start();
+    let mut client = Client::connect(mixer.address);
+    client.send(query("q1", "9000m", &[0]));
+    let mut link = node.accept();
+    assert_eq!(link.part(), "q1.0");
+    drop(client);
+    assert_eq!(link.frame(), Some(('n', "q1.0".to_owned())));
+    mixer.wait_for("clients_gone", 1);
+    assert_eq!(mixer.counters()["attempts_cancelled"], 1);
+}
+
+#[test]
+fn a_connection_carries_no_more_calls_than_allowed() {
+    let node = Node::new();
+    let setup = Setup { calls_per_connection: 1, ..with_nodes(&[&node]) };
+    let mixer = setup.start();
+    let mut clients = [Client::connect(mixer.address), Client::connect(mixer.address)];
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(query(&format!("q{i}"), "9000m", &[0]));
+    }
+    for _ in 0..2 {
+        let mut link = node.accept();
+        let part = link.part();
+        link.answer(&part, "good", "v");
+        std::mem::forget(link);
+    }
+    assert!(clients.iter_mut().all(|c| c.response().status == 200));
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_node_does() {
+    let node = Node::new();
+    let mixer = Setup { keepalive_ms: 700, ..with_nodes(&[&node]) }.start();
+    let mut client = Client::connect(mixer.address);
+    client.send(query("q1", "9000m", &[0]));
+    let mut link = node.accept();
+    let part = link.part();
+    link.answer(&part, "good", "v");
+    assert_eq!(client.response().status, 200);
+    assert_eq!(link.frame(), None, "closed by the mixer");
+    assert_eq!(mixer.counters()["connections_closed"], 1);
+}
+
+/// A node that reads nothing holds up nobody, and what waits for it is bounded.
+#[test]
+fn a_stalled_node_does_not_block_the_mixer() {
+    let (stalled, node) = (Node::new(), Node::new());
+    let mixer = Setup { calls_per_connection: 1000, ..with_nodes(&[&stalled, &node]) }.start();
+    let mut waiting = Vec::new();
+    for i in 0..150 {
+        let text = "x".repeat(60_000);
+        let mut client = Client::connect(mixer.address);
+        let big = query(&format!("big{i}"), "5000m", &[0]).replace("c41e77d0", &text);
+        let length = format!("Content-Length: {}", big.split_once("\r\n\r\n").expect("a body").1.len());
+        let old = big.lines().find(|l| l.starts_with("Content-Length")).expect("told").to_owned();
+        client.send(big.replace(&old, &length));
+        waiting.push(client);
+    }
+    let mut client = Client::connect(mixer.address);
+    client.send(query("small", "9000m", &[1]));
+    let mut link = node.accept();
+    let part = link.part();
+    link.answer(&part, "good", "v");
+    assert_eq!(client.response().status, 200);
+    mixer.wait_for("connections_closed", 1);
+    for mut client in waiting {
+        assert_eq!(client.response().status, 503);
+    }
+}
+
+#[test]
+fn a_draining_node_gets_nothing_new() {
+    let (a, b) = (Node::new(), Node::new());
+    let discovery = Discovery::new();
+    let setup = Setup { discovery: discovery.address(), ..with_twins(&a, &b) };
+    let mixer = setup.start();
+    let mut watch = discovery.accept();
+    assert_eq!(watch.request, "GET /v1/servers?watch=1&after=1 HTTP/1.1");
+    let draining = Listed { lifecycle: "Terminating", ..listed("a", a.address, 0) };
+    watch.tell("");
+    watch.tell(&list(2, false, &[draining]));
+    mixer.wait_for("lists_taken", 2);
+    let serve = background(move || {
+        let mut link = b.accept();
+        for _ in 0..10 {
+            let part = link.part();
+            link.answer(&part, "good", "v");
+        }
+    });
+    let mut client = Client::connect(mixer.address);
+    for i in 0..10 {
+        assert_eq!(client.ask(query(&format!("q{i}"), "9000m", &[0])).status, 200);
+    }
+    serve();
+    assert_eq!(mixer.counters()["attempts_sent"], 10);
+}
+
+/// A watch that falls silent, one that ends, and one that starts again with the whole list.
+#[test]
+fn the_watch_is_asked_for_again_from_where_it_was() {
+    let (a, b) = (Node::new(), Node::new());
+    let discovery = Discovery::new();
+    let mixer = Setup { discovery: discovery.address(), ..with_nodes(&[&a]) }.start();
+    let mut first = discovery.accept();
+    first.tell(&list(7, false, &[]));
+    first.given_up();
+    let second = discovery.accept();
+    assert!(second.request.contains("after=7"), "{}", second.request);
+    drop(second);
+    let mut third = discovery.accept();
+    // The list is whole: node a is gone, and its place is b's.
+    third.tell(&list(3, true, &[listed("b", b.address, 0)]));
+    mixer.wait_for("lists_taken", 3);
+    let mut client = Client::connect(mixer.address);
+    client.send(query("q1", "9000m", &[0]));
+    let mut link = b.accept();
+    let part = link.part();
+    link.answer(&part, "good", "v");
+    assert_eq!(client.response().status, 200);
+    assert!(mixer.counters()["watches_lost"] >= 2);
+}
+
+#[test]
+fn terminated_it_still_accepts_answers_and_then_exits() {
+    let node = Node::new();
+    let mut mixer = with_nodes(&[&node]).start();
+    let mut idle = Client::connect(mixer.address);
+    assert_eq!(idle.ask("GET /healthz HTTP/1.1\r\n\r\n").status, 200);
+    let mut held = Client::connect(mixer.address);
+    held.send(query("q1", "9000m", &[0]));
+    let mut link = node.accept();
+    let first = link.part();
+    mixer.signal("-TERM");
+    idle.closed();
+    let mut late = Client::connect(mixer.address);
+    late.send(query("q2", "9000m", &[0]));
+    let second = link.part();
+    assert_eq!(Client::connect(mixer.address).ask("GET /healthz HTTP/1.1\r\n\r\n").status, 503);
+    for part in [first, second] {
+        link.answer(&part, "good", "v");
+    }
+    for mut client in [held, late] {
+        let reply = client.response();
+        assert_eq!((reply.status, reply.header("Connection")), (200, Some("close")));
+        client.closed();
+    }
+    assert!(mixer.ended().success());
+    mixer.told("sailmux_answers_whole 2");
+}
+
+#[test]
+fn a_bad_configuration_stops_the_start_and_is_named() {
+    use std::io::Read;
+    let good = with_nodes(&[]).config();
+    let cases = [
+        (good.replace("\"maxOpen\":2000", "\"maxOpen\":\"many\""), "settings.limits.maxOpen"),
+        (good.replace("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"xyz\""), "field seed"),
+        (good.replace("127.0.0.1:0", "nowhere"), "field listen"),
+        (good.replace("\"aimMs\"", "\"aims\""), "settings.categories[0].aimMs"),
+        (good.replace("\"width\":1", "\"width\":9"), "layout"),
+        ("{".to_owned(), "JSON"),
+    ];
+    for (config, named) in cases {
+        let mut child = spawn(&config, None);
+        let mut words = String::new();
+        child.stderr.take().expect("piped").read_to_string(&mut words).expect("text");
+        assert!(!child.wait().expect("it ends").success());
+        assert!(words.contains("config.json") && words.contains(named), "{named}: {words}");
+    }
+}
+
+#[test]
+fn a_client_that_trickles_is_not_waited_for_by_others() {
+    let node = Node::new();
+    let mixer = with_nodes(&[&node]).start();
+    let mut slow = Client::connect(mixer.address);
+    slow.send("POST /api/1 HTTP/1.1\r\n");
+    assert_eq!(Client::connect(mixer.address).ask("GET /healthz HTTP/1.1\r\n\r\n").status, 200);
+}
