Add Arrow Flight on both sides, with the same faults run over HTTP and Flight

Made: a Flight front (DoGet with the query as ticket, GetFlightInfo) set up in an operator's file, and node connections over Flight for addresses that are Flight locations. Refusal is UNAVAILABLE with retry info, expiry DEADLINE_EXCEEDED, failure ABORTED, a bad ticket INVALID_ARGUMENT; a cancel is a client gone; a stream cut halfway is a reset and its rows are dropped. Conclusion: both fronts keep one set of rules because the core knows no wire.

--- a/src/config.rs
+++ b/src/config.rs
@@ -187,6 +187,34 @@
     pub known: NodeList,
     /// The settings.
     pub site: SiteSettings,
+    /// What the operators set up beside the platform.
+    pub operator: Operator,
+}
+
+/// An operator's file, as `deploy/operator.yaml`; all of it is off where there is none.
+#[derive(Clone, Debug, Default)]
+pub struct Operator {
+    /// Where gateways pull envelope lists by Arrow Flight.
+    pub flight_listen: Option<SocketAddr>,
+}
+
+impl Operator {
+    fn read(path: &Path) -> Result<Self, ConfigError> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
+        let value = crate::yaml::parse(&text).map_err(|e| ConfigError::Malformed(file.clone(), e))?;
+        let listen = Field::root(&value).get("flight").get("listen");
+        let flight_listen = match listen.clone().present() {
+            None => None,
+            Some(_) => Some(
+                listen
+                    .text()
+                    .and_then(|t| t.parse().map_err(|_| listen.wrong("is no address and port")))
+                    .map_err(|e| ConfigError::Field(file, e))?,
+            ),
+        };
+        Ok(Operator { flight_listen })
+    }
 }
 
 /// Why the program cannot start.
@@ -197,7 +225,7 @@
     /// A file cannot be read.
     Unreadable(String, std::io::Error),
     /// A file is not what it should be as a whole.
-    Malformed(String, &'static str),
+    Malformed(String, String),
     /// A field of a file.
     Field(String, FieldError),
 }
@@ -223,14 +251,18 @@
     /// What keeps the program from starting, with the file and the field.
     pub fn load() -> Result<Self, ConfigError> {
         let path = env::var("RELAY_CONFIG").map_err(|_| ConfigError::Missing("RELAY_CONFIG"))?;
-        Self::read(Path::new(&path))
+        let operator = match env::var("SAILMUX_OPERATOR") {
+            Ok(path) => Operator::read(Path::new(&path))?,
+            Err(_) => Operator::default(),
+        };
+        Ok(Config { operator, ..Self::read(Path::new(&path))? })
     }
 
     fn read(path: &Path) -> Result<Self, ConfigError> {
         let file = path.display().to_string();
         let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
         let value: Value = miniserde::json::from_str(&text)
-            .map_err(|_| ConfigError::Malformed(file.clone(), "is not JSON"))?;
+            .map_err(|_| ConfigError::Malformed(file.clone(), "is not JSON".to_owned()))?;
         Self::from_json(&Field::root(&value)).map_err(|e| ConfigError::Field(file, e))
     }
 
@@ -253,6 +285,7 @@
                 None => NodeList::default(),
             },
             site: settings(&root.get("settings"))?,
+            operator: Operator::default(),
         })
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -34,8 +34,8 @@
     pub class: String,
     /// Its tenant, if any.
     pub tenant: Option<String>,
-    /// Time until the client gives up.
-    pub time_left: Millis,
+    /// Time until the client gives up; its class's where it has named none.
+    pub time_left: Option<Millis>,
     /// The client marked it as a repeat.
     pub retry: bool,
     /// What each part has to carry.
@@ -94,6 +94,8 @@
     Bad,
     /// Turned away; it never ran.
     Later,
+    /// The answer broke off while the connection stays; it may have run.
+    Cut,
 }
 
 /// What the core is told.
@@ -123,8 +125,8 @@
         attempt: AttemptId,
         /// How.
         end: End,
-        /// The value; of no meaning unless good.
-        value: Bytes,
+        /// The value's rows; of no meaning unless good.
+        rows: Vec<Bytes>,
         /// The load report that came along.
         report: Option<LoadReport>,
     },
@@ -166,8 +168,8 @@
     Answer {
         /// All parts that a whole answer needs are in.
         whole: bool,
-        /// Shards and values, as the nodes gave them.
-        values: Vec<(u32, Bytes)>,
+        /// Shards and the rows of their values, as the nodes gave them.
+        values: Vec<(u32, Vec<Bytes>)>,
     },
     /// Turned away; asking again is harmless.
     Refused {
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -59,8 +59,8 @@
             }
             Event::Connected(conn) => self.connected(conn),
             Event::Written(conn, upto) => self.written(conn, upto),
-            Event::PartEnded { conn, attempt, end, value, report } => {
-                self.part_ended(conn, attempt, end, value, report);
+            Event::PartEnded { conn, attempt, end, rows, report } => {
+                self.part_ended(conn, attempt, end, rows, report);
             }
             Event::ProbeEnded { conn, good, report } => self.probe_ended(conn, good, report),
             Event::Broken { conn, why } => self.broken(conn, &why),
@@ -129,7 +129,7 @@
         } else if shards.last().is_some_and(|last| *last >= most) {
             Some("no such shard")
         } else if new.parts.iter().any(|p| bad(p.weight) || p.cost_hint.is_some_and(bad))
-            || bad(new.time_left)
+            || new.time_left.is_some_and(bad)
         {
             Some("a figure makes no sense")
         } else if c.query.is_some() || state.names.contains(&new.name) {
@@ -166,9 +166,10 @@
         if let Some(c) = state.clients.get_mut(&client) {
             c.query = Some(query);
         }
-        state.arm(self.now + new.time_left, Timer::Query(query));
+        let time_left = new.time_left.unwrap_or(state.site.module.classes[class].deadline);
+        state.arm(self.now + time_left, Timer::Query(query));
         let tenant = new.tenant.and_then(|name| state.site.tenants.iter().position(|t| *t == name));
-        let (time_left, retry) = (new.time_left, new.retry);
+        let retry = new.retry;
         self.news.push_back(api::Event::Query { query, class, tenant, time_left, retry, parts });
     }
 
@@ -417,7 +418,7 @@
         conn: ConnId,
         id: AttemptId,
         end: End,
-        value: Bytes,
+        rows: Vec<Bytes>,
         report: Option<LoadReport>,
     ) {
         if let Some(c) = self.state.conns.get_mut(&conn) {
@@ -433,11 +434,12 @@
             End::Good => Outcome::Ok,
             End::Bad => Outcome::Error,
             End::Later => Outcome::Rejected,
+            End::Cut => Outcome::Reset,
         };
         if end == End::Good
             && let Some(p) = self.state.parts.get_mut(&a.part)
         {
-            p.value.get_or_insert(value);
+            p.value.get_or_insert(rows);
         }
         self.end(id, outcome, report);
     }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -101,7 +101,7 @@
     pub unsettled: u32,
     /// The next attempt, while one is unsettled.
     pub held: Option<AttemptId>,
-    pub value: Option<Bytes>,
+    pub value: Option<Vec<Bytes>>,
 }
 
 /// How far an attempt has come.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,5 +48,6 @@
 mod logic;
 pub mod net;
 mod state;
+pub mod yaml;
 
 pub use state::Balancer;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -2,11 +2,12 @@
 //! the core.
 
 use super::chunked::Chunks;
+use super::query::{Body, Range, is_name};
 use super::{Input, ToClient, ToCore};
 use crate::api::Millis;
-use crate::core::{ClientId, Event, Limits, NewPart, NewQuery, Reply};
+use crate::core::{ClientId, Event, Limits, NewQuery, Reply};
 use bytes::{Buf, Bytes, BytesMut};
-use miniserde::{Deserialize, Serialize, json};
+use miniserde::{Serialize, json};
 use std::io;
 use std::ops::ControlFlow;
 use std::sync::Arc;
@@ -270,42 +271,26 @@
     Reject { status: "405 Method Not Allowed", why: "not with this method" }
 }
 
-#[derive(Deserialize)]
-struct Body {
-    ranges: Vec<Range>,
-    predicate: String,
-}
-
-#[derive(Deserialize)]
-struct Range {
-    range: u32,
-    portion: f64,
-    price: Option<f64>,
-}
-
 /// Reads a query from its headers and body.
 fn query<'h>(
     header: &impl Fn(&str) -> Result<Option<&'h str>, Reject>,
     body: &[u8],
 ) -> Result<NewQuery, Reject> {
     let name = header("req-id")?.ok_or(bad("Req-Id is missing"))?;
-    // Node frames are lines of words: a name with blanks in it would break them.
-    if name.is_empty() || name.len() > 128 || !name.bytes().all(|b| b.is_ascii_graphic()) {
+    if !is_name(name) {
         return Err(bad("Req-Id is no word"));
     }
     let deadline = header("req-deadline")?.ok_or(bad("Req-Deadline is missing"))?;
     let text = std::str::from_utf8(body).map_err(|_| bad("the body is no text"))?;
     let body: Body = json::from_str(text).map_err(|_| bad("the body is no query"))?;
-    let part =
-        |r: &Range| NewPart { shard: r.range, weight: r.portion, cost_hint: r.price.map(|us| us / 1e3) };
     Ok(NewQuery {
         name: name.into(),
         class: header("req-kind")?.ok_or(bad("Req-Kind is missing"))?.to_owned(),
         tenant: header("req-owner")?.map(str::to_owned),
-        time_left: millis(deadline).ok_or(bad("Req-Deadline is no time"))?,
+        time_left: Some(millis(deadline).ok_or(bad("Req-Deadline is no time"))?),
         retry: header("req-retry")? == Some("1"),
         text: body.predicate.into(),
-        parts: body.ranges.iter().map(part).collect(),
+        parts: body.ranges.iter().map(Range::part).collect(),
     })
 }
 
@@ -337,11 +322,10 @@
     let plain = |status, body: &str| response(status, "text/plain", "", body.as_bytes(), close);
     match reply {
         Reply::Answer { whole, values } => {
-            let hit = |(range, value): (u32, Bytes)| Hit {
-                range,
-                blob: String::from_utf8_lossy(&value).into_owned(),
-            };
-            let answer = Answer { total: whole, answers: values.into_iter().map(hit).collect() };
+            // One entry a row: nodes that answer by Flight may give several for a part.
+            let hit = |range, row: &Bytes| Hit { range, blob: String::from_utf8_lossy(row).into_owned() };
+            let hits = values.iter().flat_map(|(range, rows)| rows.iter().map(|row| hit(*range, row)));
+            let answer = Answer { total: whole, answers: hits.collect() };
             response("200 OK", "application/json", "", json::to_string(&answer).as_bytes(), close)
         }
         Reply::Refused { retry_after } => {
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -251,7 +251,7 @@
                 // An answer to what was given up before it came is of no interest.
                 let Some(attempt) = self.out.remove(name) else { return Ok(None) };
                 self.names.remove(&attempt);
-                Ok(Some(Event::PartEnded { conn: self.conn, attempt, end, value: frame, report }))
+                Ok(Some(Event::PartEnded { conn: self.conn, attempt, end, rows: vec![frame], report }))
             }
             b'p' => {
                 let words = std::str::from_utf8(&frame).map_err(|_| BadFrame::Line)?.trim();
@@ -283,7 +283,7 @@
 }
 
 /// A load report in the form `inflight=7,util=0.61`; names that are unknown are passed over.
-fn load_report(words: &str) -> Option<LoadReport> {
+pub(super) fn load_report(words: &str) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for pair in words.split(',') {
         let Some((name, figure)) = pair.split_once('=') else { continue };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,8 +4,10 @@
 
 mod chunked;
 mod discovery;
+mod flight;
 mod http;
 mod leaf;
+mod query;
 
 use crate::clock::Clock;
 use crate::config::Config;
@@ -15,7 +17,7 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
 /// Events that wait for the core, at most: who brings more waits.
@@ -64,7 +66,8 @@
     let generation = config.known.generation;
     let wall_ahead = clock.wall_ahead();
     let known = Event::Nodes { list: config.known, wall_ahead };
-    let mut hub = Hub { to_core, clients: HashMap::new(), conns: HashMap::new(), accepting };
+    let mut hub =
+        Hub { to_core, clients: HashMap::new(), conns: HashMap::new(), accepting, stop_flight: None };
     hub.carry_out(reduce(&mut state, clock.now(), known));
     tokio::task::spawn_local(discovery::watch(
         config.discovery,
@@ -76,6 +79,13 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut report = signal(SignalKind::user_defined1())?;
     eprintln!("sailmux {}: serving on {address}", config.name);
+    let (stop_flight, stopped) = oneshot::channel();
+    if let Some(listen) = config.operator.flight_listen {
+        let listener = TcpListener::bind(listen).await?;
+        eprintln!("sailmux {}: flight on {}", config.name, listener.local_addr()?);
+        tokio::task::spawn_local(flight::front::serve(listener, hub.to_core.clone(), stopped));
+        hub.stop_flight = Some(stop_flight);
+    }
     let done = loop {
         let wake = state.next_timer().unwrap_or_else(|| clock.now() + 1000.0);
         let wake = Instant::from_std(clock.instant(wake));
@@ -111,6 +121,7 @@
     clients: HashMap<ClientId, mpsc::Sender<ToClient>>,
     conns: HashMap<ConnId, mpsc::Sender<ToNode>>,
     accepting: tokio::task::JoinHandle<()>,
+    stop_flight: Option<oneshot::Sender<()>>,
 }
 
 impl Hub {
@@ -132,14 +143,21 @@
                 Effect::Dial(conn, address) => {
                     let (to_node, orders) = mpsc::channel(ORDERS);
                     self.conns.insert(conn, to_node);
-                    tokio::task::spawn_local(leaf::run(conn, address, orders, self.to_core.clone()));
+                    let to_core = self.to_core.clone();
+                    match flight::location(&address) {
+                        Some(at) => tokio::task::spawn_local(flight::node::run(conn, at, orders, to_core)),
+                        None => tokio::task::spawn_local(leaf::run(conn, address, orders, to_core)),
+                    };
                 }
                 Effect::Call(conn, parts) => self.order(conn, ToNode::Call(parts)),
                 Effect::GiveUp(conn, attempt) => self.order(conn, ToNode::GiveUp(attempt)),
                 Effect::Probe(conn) => self.order(conn, ToNode::Probe),
                 // Its task ends with its orders, and says so.
                 Effect::Close(conn) => drop(self.conns.remove(&conn)),
-                Effect::StopAccepting => self.accepting.abort(),
+                Effect::StopAccepting => {
+                    self.accepting.abort();
+                    self.stop_flight = None;
+                }
                 Effect::Exit => return true,
                 Effect::Log(text) => eprintln!("{text}"),
             }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -305,6 +305,15 @@
     pub fn accept(&self) -> Link {
         first_of(&[self])
     }
+
+    /// A connection that has come, if any.
+    pub fn try_accept(&self) -> Option<Link> {
+        self.listener.set_nonblocking(true).expect("set");
+        let (stream, _) = self.listener.accept().ok()?;
+        stream.set_nonblocking(false).expect("set");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Some(Link { stream })
+    }
 }
 
 /// The next connection to any of some nodes.
@@ -339,6 +348,22 @@
         Some((char::from(frame[0]), rest))
     }
 
+    /// Has anything come?
+    pub fn has_frame(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("set");
+        let come = matches!(self.stream.peek(&mut [0]), Ok(1));
+        self.stream.set_nonblocking(false).expect("set");
+        come
+    }
+
+    /// A frame without its last byte.
+    pub fn put_cut(&mut self, letter: char, rest: &str) {
+        let mut frame = (rest.len() as u32 + 2).to_be_bytes().to_vec();
+        frame.push(letter as u8);
+        frame.extend(rest.as_bytes());
+        self.stream.write_all(&frame).expect("the mixer reads");
+    }
+
     /// The id of the part that the next frame brings.
     pub fn part(&mut self) -> String {
         let (letter, rest) = self.frame().expect("a call");
