Add an inventory in YAML or CSV in the place of discovery

Made: Ansible-style groups, variables and children, or CSV with a header row; named in the operator's file, read again on change. A bad file at the start stops it with file and field; later it keeps the old list and says why. Conclusion: discovery and inventory feed the core the same event.

--- a/src/config.rs
+++ b/src/config.rs
@@ -6,7 +6,7 @@
 use crate::json::{Field, FieldError};
 use miniserde::json::Value;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::{env, fmt, fs};
 
@@ -196,6 +196,28 @@
 pub struct Operator {
     /// Where gateways pull envelope lists by Arrow Flight.
     pub flight_listen: Option<SocketAddr>,
+    /// An inventory that takes the place of discovery.
+    pub inventory: Option<Inventory>,
+}
+
+/// An inventory as it was found at the start.
+#[derive(Clone, Debug)]
+pub struct Inventory {
+    /// Its file.
+    pub path: PathBuf,
+    /// What the file held.
+    pub text: String,
+    /// The nodes in it.
+    pub nodes: Vec<NodeEntry>,
+}
+
+impl Inventory {
+    fn read(path: PathBuf) -> Result<Self, ConfigError> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
+        let nodes = crate::inventory::parse(&path, &text).map_err(|e| ConfigError::Field(file, e))?;
+        Ok(Inventory { path, text, nodes })
+    }
 }
 
 impl Operator {
@@ -203,17 +225,22 @@
         let file = path.display().to_string();
         let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
         let value = crate::yaml::parse(&text).map_err(|e| ConfigError::Malformed(file.clone(), e))?;
-        let listen = Field::root(&value).get("flight").get("listen");
-        let flight_listen = match listen.clone().present() {
+        let of_field = |e| ConfigError::Field(file.clone(), e);
+        let root = Field::root(&value);
+        let flight_listen = match root.get("flight").get("listen").present() {
+            None => None,
+            Some(listen) => {
+                let text = listen.text().map_err(of_field)?;
+                Some(text.parse().map_err(|_| of_field(listen.wrong("is no address and port")))?)
+            }
+        };
+        // A path beside the operator's file, unless it is absolute.
+        let beside = path.parent().unwrap_or(Path::new(""));
+        let inventory = match root.get("inventory").get("file").present() {
             None => None,
-            Some(_) => Some(
-                listen
-                    .text()
-                    .and_then(|t| t.parse().map_err(|_| listen.wrong("is no address and port")))
-                    .map_err(|e| ConfigError::Field(file, e))?,
-            ),
+            Some(name) => Some(Inventory::read(beside.join(name.text().map_err(of_field)?))?),
         };
-        Ok(Operator { flight_listen })
+        Ok(Operator { flight_listen, inventory })
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod clock;
 pub mod config;
 pub mod core;
+pub mod inventory;
 pub mod json;
 mod logic;
 pub mod net;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,12 +6,15 @@
 mod discovery;
 mod flight;
 mod http;
+mod inventory;
 mod leaf;
 mod query;
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::core::{AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, reduce};
+use crate::core::{
+    AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, NodeList, Reply, State, reduce,
+};
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
@@ -65,16 +68,23 @@
     let accepting = tokio::task::spawn_local(http::accept(listener, to_core.clone(), limits));
     let generation = config.known.generation;
     let wall_ahead = clock.wall_ahead();
-    let known = Event::Nodes { list: config.known, wall_ahead };
+    let list = match &config.operator.inventory {
+        Some(kept) => NodeList { generation: 1, complete: true, entries: kept.nodes.clone() },
+        None => config.known,
+    };
+    let known = Event::Nodes { list, wall_ahead };
     let mut hub =
         Hub { to_core, clients: HashMap::new(), conns: HashMap::new(), accepting, stop_flight: None };
     hub.carry_out(reduce(&mut state, clock.now(), known));
-    tokio::task::spawn_local(discovery::watch(
-        config.discovery,
-        generation,
-        hub.to_core.clone(),
-        clock.clone(),
-    ));
+    let to_core = hub.to_core.clone();
+    match config.operator.inventory {
+        Some(kept) => {
+            tokio::task::spawn_local(inventory::watch(kept.path, kept.text, to_core, clock.clone()))
+        }
+        None => {
+            tokio::task::spawn_local(discovery::watch(config.discovery, generation, to_core, clock.clone()))
+        }
+    };
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut report = signal(SignalKind::user_defined1())?;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -255,7 +255,7 @@
             self.flush(now, out)?;
             let Some(&query) = self.groups.get(&group) else { return Ok(()) };
             let event = Event::SecondStep { query, parts: Vec::new() };
-            self.arriving = Some(Arriving { group: group, event });
+            self.arriving = Some(Arriving { group, event });
         }
         if let Some(a) = &mut self.arriving
             && let Event::Query { parts, .. } | Event::SecondStep { parts, .. } = &mut a.event
