Bound gateways' connections; turn down a request with two Content-Lengths

Seen: net::flight::front accepted connections without a limit, so gateways could use up the descriptors that clients and nodes need; net::http went by the first of two Content-Length headers, which lets requests be smuggled past a front. Made: a semaphore at the Flight listener (an eighth of the clients' share) and a 400 for the second header.

--- a/src/net/flight/front.rs
+++ b/src/net/flight/front.rs
@@ -1,7 +1,7 @@
 //! The front for gateways: `DoGet` with a ticket that carries the query, `GetFlightInfo` for that ticket.
 
 use crate::api::Millis;
-use crate::core::{ClientId, Event, NewQuery, Reply};
+use crate::core::{ClientId, Event, Limits, NewQuery, Reply};
 use crate::net::query::{Body, Range, is_name};
 use crate::net::{Input, ToClient, ToCore};
 use arrow_array::{ArrayRef, RecordBatch, StringArray, UInt32Array};
@@ -17,14 +17,19 @@
 use futures_util::stream::{self, BoxStream, StreamExt, TryStreamExt};
 use miniserde::{Deserialize, json};
 use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::time::sleep;
 use tonic::metadata::MetadataMap;
 use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
+use tonic::transport::server::Connected;
 use tonic::{Code, Request, Response, Status, Streaming};
 use tonic_types::{ErrorDetails, StatusExt};
 
@@ -36,9 +41,26 @@
 const CALLS_MOST: u32 = 256;
 
 /// Serves gateways until told to stop.
-pub(crate) async fn serve(listener: TcpListener, to_core: ToCore, stopped: oneshot::Receiver<()>) {
+pub(crate) async fn serve(
+    listener: TcpListener,
+    to_core: ToCore,
+    limits: Limits,
+    stopped: oneshot::Receiver<()>,
+) {
     let front = Front { to_core, next: AtomicU64::new(FIRST_CLIENT) };
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    // Descriptors are bounded: further gateways wait in the listener's queue.
+    let room = Arc::new(Semaphore::new((limits.clients / 8).max(1)));
+    let incoming = stream::unfold((listener, room), |(listener, room)| async {
+        let permit = room.clone().acquire_owned().await.ok()?;
+        let accepted = listener.accept().await.map(|(stream, _)| {
+            let _ = stream.set_nodelay(true);
+            Gated { stream, _permit: permit }
+        });
+        if accepted.is_err() {
+            sleep(Duration::from_millis(10)).await; // against spinning while descriptors are short
+        }
+        Some((accepted, (listener, room)))
+    });
     let service = FlightServiceServer::new(front).max_decoding_message_size(2 * TICKET_MOST);
     let server = Server::builder().max_concurrent_streams(CALLS_MOST).add_service(service);
     let stopped = async { drop(stopped.await) };
@@ -47,6 +69,46 @@
     }
 }
 
+/// A gateway's connection, which gives its place back when it ends.
+struct Gated {
+    stream: TcpStream,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connected for Gated {
+    type ConnectInfo = ();
+
+    fn connect_info(&self) {}
+}
+
+impl AsyncRead for Gated {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Gated {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 struct Front {
     to_core: ToCore,
     next: AtomicU64,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -180,6 +180,11 @@
         };
         let header = |name: &str| header(name).map_err(|_| bad("a header that is no text"));
         let over_long = Reject { status: "413 Content Too Large", why: "the body is over 64 KiB" };
+        let lengths = head.headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length"));
+        if lengths.count() > 1 {
+            // Which of them a front went by cannot be known: the other way to smuggle requests.
+            return Err(bad("Content-Length is there twice"));
+        }
         let length = match header("content-length")? {
             None => None,
             Some(n) if !n.is_empty() && n.bytes().all(|b| b.is_ascii_digit()) => match n.parse::<usize>() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -93,7 +93,7 @@
     if let Some(listen) = config.operator.flight_listen {
         let listener = TcpListener::bind(listen).await?;
         eprintln!("sailmux {}: flight on {}", config.name, listener.local_addr()?);
-        tokio::task::spawn_local(flight::front::serve(listener, hub.to_core.clone(), stopped));
+        tokio::task::spawn_local(flight::front::serve(listener, hub.to_core.clone(), limits, stopped));
         hub.stop_flight = Some(stop_flight);
     }
     let done = loop {
