Test probes for load over both node wires; drop a needless rewrapping

Seen: no test drove a probe on sockets, over frames or Flight. Made: one story that asks until the module has probed, on both wires. Also the ticket's fields are used as they are instead of through a second struct. Conclusion: the load report's path is covered on either wire.

--- a/src/net/flight/front.rs
+++ b/src/net/flight/front.rs
@@ -2,7 +2,7 @@
 
 use crate::api::Millis;
 use crate::core::{ClientId, Event, Limits, NewQuery, Reply};
-use crate::net::query::{Body, Range, is_name};
+use crate::net::query::{Range, is_name};
 use crate::net::{Input, ToClient, ToCore};
 use arrow_array::{ArrayRef, RecordBatch, StringArray, UInt32Array};
 use arrow_flight::encode::FlightDataEncoderBuilder;
@@ -137,15 +137,14 @@
     }
 
     fn query(self, time_left: Option<Millis>) -> NewQuery {
-        let Body { ranges, predicate } = Body { ranges: self.ranges, predicate: self.predicate };
         NewQuery {
             name: self.id.into(),
             class: self.kind,
             tenant: self.owner,
             time_left,
             retry: self.retry.unwrap_or(false),
-            text: predicate.into(),
-            parts: ranges.iter().map(Range::part).collect(),
+            text: self.predicate.into(),
+            parts: self.ranges.iter().map(Range::part).collect(),
         }
     }
 }
--- a/tests/common/flight.rs
+++ b/tests/common/flight.rs
@@ -136,8 +136,13 @@
         }
     }
 
-    async fn do_action(&self, _: Request<Action>) -> Result<Response<Boxed<arrow_flight::Result>>, Status> {
-        Err(Status::unimplemented(""))
+    async fn do_action(
+        &self,
+        action: Request<Action>,
+    ) -> Result<Response<Boxed<arrow_flight::Result>>, Status> {
+        assert_eq!(action.into_inner().r#type, "load");
+        let load = arrow_flight::Result { body: "inflight=7,qps=3".into() };
+        Ok(Response::new(stream::iter([Ok(load)]).boxed()))
     }
     async fn handshake(
         &self,
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -55,6 +55,7 @@
     pub hard_limit_ms: u32,
     pub keepalive_ms: u32,
     pub calls_per_connection: u32,
+    pub probes: bool,
     pub operator: Option<String>,
 }
 
@@ -69,6 +70,7 @@
             hard_limit_ms: 10_000,
             keepalive_ms: 30_000,
             calls_per_connection: 32,
+            probes: false,
             operator: None,
         }
     }
@@ -76,18 +78,26 @@
     /// The configuration as the platform writes it.
     pub fn config(&self) -> String {
         let Setup {
-            known, discovery, max_attempts, hard_limit_ms, keepalive_ms, calls_per_connection, ..
+            known,
+            discovery,
+            max_attempts,
+            hard_limit_ms,
+            keepalive_ms,
+            calls_per_connection,
+            probes,
+            ..
         } = self;
+        let how = if *probes { "on_probe" } else { "off" };
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},
 "settings":{{"categories":[{{"aimMs":{hard_limit_ms},"effect":"retryable","hardLimitMs":{hard_limit_ms},
 "lateValue":0,"name":"c","worth":1}}],"clients":{{"marksRetry":false}},"discovery":"pushed",
 "invariants":{{"coldShare":0.3,"warmAfterMs":10000,"mustAskInMs":10000}},
-"limits":{{"cancel":true,"maxAttempts":{max_attempts},"maxOpen":2000,"maxRetryAfterMs":2000,"probes":false,
+"limits":{{"cancel":true,"maxAttempts":{max_attempts},"maxOpen":2000,"maxRetryAfterMs":2000,"probes":{probes},
 "retryAfter":true,"secondCopies":false,"dialTimeoutMs":250,"keepaliveMs":{keepalive_ms},
 "streamsPerConn":{calls_per_connection}}},
-"periodMs":5,"replicasOfMe":1,"report":{{"how":"off"}},"specifics":{{"classPartial":[0.9],"completeFrom":[1],
+"periodMs":5,"replicasOfMe":1,"report":{{"how":"{how}"}},"specifics":{{"classPartial":[0.9],"completeFrom":[1],
 "fetchParts":[0],"floorByClass":[1],"perCall":1,"positions":3,"shards":3,"width":1}},
 "tenants":[{{"name":"acme","quotaPerS":10}}],"zone":"z","zones":["z"]}}}}"#
         )
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -57,6 +57,10 @@
                 links.extend(node.try_accept());
                 let ready = links.iter().position(Link::has_frame)?;
                 match links[ready].frame()? {
+                    ('p', _) => {
+                        links[ready].put('p', "inflight=7,qps=3");
+                        None
+                    }
                     ('m', rest) => Some(Part::Plain(ready, rest.split(' ').next()?.to_owned())),
                     (_, id) => {
                         given_up.push(id);
@@ -339,6 +343,28 @@
     assert_eq!(mixer.counters()["queries_malformed"], 2);
 }
 
+/// The module asks some of the nodes it has drawn for their load, over either wire.
+#[test]
+fn probes_for_load_are_answered() {
+    for wire in [Wire::Plain, Wire::Flight] {
+        let mut nodes = [AnyNode::new(wire)];
+        let mixer = Setup { probes: true, ..Setup::new(&[nodes[0].listed("a", 0)]) }.start();
+        let mut client = Client::connect(mixer.address);
+        let end = Instant::now() + PATIENCE;
+        for i in 0.. {
+            client.send(query(&format!("q{i}"), "9000m", &[0]));
+            let (_, part) = next(&mut nodes);
+            nodes[0].play(part, Play::Good("v"));
+            assert_eq!(client.response().status, 200);
+            if mixer.counters()["probes_answered"] > 0 {
+                break;
+            }
+            assert!(Instant::now() < end, "no probe was answered over {wire:?}");
+        }
+        assert_eq!(mixer.counters()["probes_failed"], 0, "{wire:?}");
+    }
+}
+
 /// Gateways' connections are bounded, and one that ends makes room for the next.
 #[test]
 fn gateways_beyond_the_limit_wait_for_room() {
