Share one socket wrapper between both sides of Flight

Seen: front and node each wrapped a socket with the same sixteen lines, one for its place among the gateways, one to watch writes. Made: one wrapper that carries either.

--- a/src/net/flight/front.rs
+++ b/src/net/flight/front.rs
@@ -1,5 +1,6 @@
 //! The front for gateways: `DoGet` with a ticket that carries the query, `GetFlightInfo` for that ticket.
 
+use super::socket::{Carried, Socket};
 use crate::api::Millis;
 use crate::core::{ClientId, Event, Limits, NewQuery, Reply};
 use crate::net::query::{Range, is_name};
@@ -17,19 +18,14 @@
 use futures_util::stream::{self, BoxStream, StreamExt, TryStreamExt};
 use miniserde::{Deserialize, json};
 use std::collections::HashMap;
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::sleep;
 use tonic::metadata::MetadataMap;
 use tonic::transport::Server;
-use tonic::transport::server::Connected;
 use tonic::{Code, Request, Response, Status, Streaming};
 use tonic_types::{ErrorDetails, StatusExt};
 
@@ -54,7 +50,7 @@
         let permit = room.clone().acquire_owned().await.ok()?;
         let accepted = listener.accept().await.map(|(stream, _)| {
             let _ = stream.set_nodelay(true);
-            Gated { stream, _permit: permit }
+            Socket { stream, carried: permit }
         });
         if accepted.is_err() {
             sleep(Duration::from_millis(10)).await; // against spinning while descriptors are short
@@ -69,45 +65,8 @@
     }
 }
 
-/// A gateway's connection, which gives its place back when it ends.
-struct Gated {
-    stream: TcpStream,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl Connected for Gated {
-    type ConnectInfo = ();
-
-    fn connect_info(&self) {}
-}
-
-impl AsyncRead for Gated {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for Gated {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
+/// A gateway's connection gives its place back when it ends.
+impl Carried for OwnedSemaphorePermit {}
 
 struct Front {
     to_core: ToCore,
--- a/src/net/flight/mod.rs
+++ b/src/net/flight/mod.rs
@@ -2,6 +2,7 @@
 
 pub(super) mod front;
 pub(super) mod node;
+mod socket;
 
 /// The host and port of a node that answers by Flight, where its address is a Flight location.
 pub(super) fn location(address: &str) -> Option<String> {
--- a/src/net/flight/node.rs
+++ b/src/net/flight/node.rs
@@ -1,6 +1,7 @@
 //! Connections to nodes that answer by Flight: one HTTP/2 connection, one `DoGet` a part. The ticket is the
 //! part as JSON; the answer is a stream of batches with a text column `blob`. The action `load` is the probe.
 
+use super::socket::{Carried, Socket};
 use crate::api::LoadReport;
 use crate::core::{AttemptId, CallPart, ConnId, End, Event};
 use crate::net::{Input, ToCore, ToNode, leaf};
@@ -22,7 +23,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
@@ -58,7 +58,7 @@
         let _ = stream.set_nodelay(true);
         // A close must be an end at once: nothing of what is given up by it may leave later.
         let _ = stream.set_zero_linger();
-        let io = TokioIo::new(Watched { stream, progress: progress.clone() });
+        let io = TokioIo::new(Socket { stream, carried: progress.clone() });
         Builder::new(Local).handshake::<_, Body>(io).await.map_err(|e| e.to_string())
     };
     let (sender, connection) = tokio::select! {
@@ -284,41 +284,11 @@
     }
 }
 
-/// A stream whose writes are watched.
-struct Watched {
-    stream: TcpStream,
-    progress: Rc<Progress>,
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.progress.blocked.set(poll.is_pending());
+impl Carried for Rc<Progress> {
+    fn written(&self, poll: &Poll<io::Result<usize>>) {
+        self.blocked.set(poll.is_pending());
         if let Poll::Ready(Ok(n)) = poll {
-            self.progress.written.set(self.progress.written.get() + n as u64);
+            self.written.set(self.written.get() + *n as u64);
         }
-        poll
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
