Wait six tails for a silent attempt; let busyness alone decide between the two drawn

At fault in src/logic.rs: less_busy let a sound holder win whatever it held; send gave up after left / 3; suspect took every overdue probe as evidence.

Tests, seen to fail without: a_lone_sound_holder_does_not_take_all, a_silent_attempt_is_given_six_tails.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,6 +70,9 @@
 const UNFORCED_EXTRAS: f64 = 0.5;
 /// A further attempt starts when the time left is this many tails: enough for one more, with a margin.
 const HEDGE_TAILS: f64 = 2.0;
+/// Where no second copy may go out, a silent attempt is given up after so many tails at the soonest: work called
+/// off half done is done anew elsewhere, and in slow times that is what makes them slower.
+const PATIENT_TAILS: f64 = 6.0;
 /// A cold replica gets its ramp's share of this many times what a warm peer serves: all aggregators together
 /// then stay near its capacity even where peers are full, as peers serve no more than theirs.
 const COLD_OF_PEER: f64 = 3.0;
@@ -339,20 +342,25 @@
         Some((pool[i], pool[j]))
     }
 
+    /// A suspect loses by its busyness alone. Stops the herd: a lone sound holder that won every draw took the
+    /// parts of its whole set, was slow next, and handed the herd on.
     fn less_busy(&mut self, a: ReplicaId, b: ReplicaId) -> ReplicaId {
         let (ca, cb) = (self.cost(a), self.cost(b));
-        let sound = |id: ReplicaId| !self.suspect(&self.replicas[&id]);
-        if sound(a) != sound(b) {
-            return if sound(a) { a } else { b };
-        }
         if self.set.cross_zone_price > 0.0 && (ca - cb).abs() < ZONE_TIE {
             let home = |id: ReplicaId| self.replicas[&id].zone == self.set.zone;
             if home(a) != home(b) {
                 return if home(a) { a } else { b };
             }
         }
+        // A probe that is overdue decides ties alone: against more, one lost probe would move a set's whole load.
+        let overdue = |id: ReplicaId| {
+            let r = &self.replicas[&id];
+            r.probing && self.now - r.probed_at.max(self.woke) >= self.patience()
+        };
+        let (late_a, late_b) = (overdue(a), overdue(b));
         let coin = self.draw.below(2) == 0;
-        if ca < cb || ca == cb && coin { a } else { b }
+        let tie = if late_a == late_b { coin } else { late_b };
+        if ca < cb || ca == cb && tie { a } else { b }
     }
 
     // ---- Attempts and hedges --------------------------------------------------------------------------
@@ -368,9 +376,11 @@
         let left = (q.end_at - self.now).max(self.set.tick);
         let again = self.set.max_attempts.saturating_sub(p.attempts.len() as u32 + 1);
         let repeats = self.set.classes[q.class].effect != Effect::Unsafe && again > 0;
+        // What is typical must be known: patience with a silent server at the start would be for nothing.
+        let patient = if self.latencies.len() < ENOUGH { 0.0 } else { self.tail * PATIENT_TAILS };
         let timeout = match self.set.second_copies || !repeats {
             true => left,
-            false => left.min((left / f64::from(again + 1)).max(self.tail * HEDGE_TAILS)),
+            false => left.min((left / f64::from(again + 1)).max(patient)),
         };
         match p.attempts.is_empty() {
             true => self.sent.add(self.now, 1),
@@ -617,7 +627,6 @@
         self.slowness(r) > SLOW_SUSPECT
             || self.faded(r).0 > GHOSTS_SUSPECT
             || r.probation && !r.calls.is_empty()
-            || r.probing && self.now - r.probed_at.max(self.woke) >= self.patience()
     }
 
     /// Takes the evidence of one attempt. A failed one counts as outstanding for a while more, longer in
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -678,6 +678,45 @@
     }
 }
 
+/// A shard's one holder that is not suspect still loses to a suspect once it holds far more: no herd.
+#[test]
+fn a_lone_sound_holder_does_not_take_all() {
+    let mut rig = Rig::new(Settings { second_copies: false, ..settings() }, 5);
+    rig.list(3);
+    warm_up(&mut rig, 20_000.0, 50.0);
+    rig.pass(20_000.0, 20_020.0);
+    // Two stood still for a moment, eight times as long as a part takes.
+    let mut held = vec![];
+    while held.len() < 2 {
+        let (part, replica) = rig.send(20_020.0, 0);
+        match replica {
+            ReplicaId(0) => rig.end(20_021.0, part, 0, Outcome::Ok, 50.0),
+            _ => held.push(part),
+        }
+    }
+    rig.pass(20_020.0, 20_420.0);
+    let to: Vec<ReplicaId> = (0..60).map(|_| rig.send_one(20_420.0, 0)).collect();
+    let lone = to.iter().filter(|r| **r == ReplicaId(0)).count();
+    assert!((20..50).contains(&lone), "{lone} of 60 parts went to the one that was quick");
+}
+
+/// A part out at a slow server is waited for: work called off half done is done anew, and all get slower.
+#[test]
+fn a_silent_attempt_is_given_six_tails() {
+    let short = Class { aim: 600.0, deadline: 600.0, ..class() };
+    let mut rig = Rig::new(Settings { second_copies: false, ..with_class(short) }, 5);
+    rig.list(3);
+    warm_up(&mut rig, 20_000.0, 50.0);
+    rig.pass(20_000.0, 20_020.0);
+    let from = rig.actions.len();
+    rig.send(20_020.0, 0);
+    let timeout = rig.actions[from..].iter().find_map(|a| match a {
+        Action::Send { timeout, .. } => Some(*timeout),
+        _ => None,
+    });
+    assert!(timeout.is_some_and(|t| (290.0..310.0).contains(&t)), "{timeout:?}");
+}
+
 /// Incident i03dc30: who turned nearly all away lets a trial in once the evidence is old.
 #[test]
 fn refusing_does_not_last_for_ever() {
