--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -27,6 +27,7 @@
 counters! {
     clients_opened: "Client connections opened.",
     clients_closed: "Client connections ended.",
+    clients_shed: "Idle client connections closed to make room for others.",
     queries_taken: "Queries taken in.",
     parts_taken: "Parts of those queries.",
     queries_malformed: "Requests that no query could be read from.",
@@ -52,8 +53,10 @@
     connections_dialled: "Connections to nodes begun.",
     connections_up: "Connections to nodes that came up.",
     connections_broken: "Connections to nodes that failed or were ended by the node.",
+    connections_spoilt: "Connections to nodes ended over what could not be read.",
     connections_closed: "Connections to nodes that this mixer closed.",
     lists_taken: "Lists of nodes and changes taken in.",
+    nodes_forgotten: "Nodes forgotten a while after they left the list.",
     watches_lost: "Watches of the list that ended or fell silent.",
     reloads: "Times that the configuration was read anew.",
     reloads_rejected: "Times that the old settings stood, for the file made no sense.",
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -108,8 +108,9 @@
     ClientClosed(ClientId),
     /// A client's query is in whole.
     Query(ClientId, NewQuery),
-    /// A client sent what no query can be read from; the front has answered with a 4xx of its own.
-    Malformed,
+    /// A client sent what no query can be read from; the front has answered with a 4xx of its own. Flight numbers
+    /// a call only once its query has been read.
+    Malformed(Option<ClientId>),
     /// A client asks whether this mixer takes queries.
     HealthAsked(ClientId),
     /// A client asks for the counters.
@@ -146,6 +147,8 @@
         conn: ConnId,
         /// Why, for the log; empty for no news.
         why: String,
+        /// The node sent what cannot be read: the answers that were to come on it are lost, not the node.
+        spoilt: bool,
     },
     /// What is said about the list of nodes.
     Nodes {
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -18,10 +18,15 @@
 /// close must come before theirs, or a part crosses it and is reset.
 const IDLE_SHARE: f64 = 0.8;
 const IDLE_MARGIN: Millis = 500.0;
-/// Clients are still accepted for so long after SIGTERM: the front notices a leaving mixer only after a while.
-const DRAIN_ACCEPTS: Millis = 1000.0;
-/// A client that has shown no request for so long is idle also while this mixer leaves.
-const DRAIN_IDLE: Millis = 500.0;
+/// After SIGTERM clients are served as ever for so long: the front notices a leaving mixer only after a while, and
+/// clients whose connections go at once may find no other mixer yet. What comes later may not be answered in time.
+const DRAIN_SERVES: Millis = 650.0;
+/// A client that has shown no request for so long is idle while this mixer leaves.
+const DRAIN_IDLE: Millis = 100.0;
+/// A client that has asked nothing for so long after it came is the first to go where there are too many.
+const SILENT: Millis = 250.0;
+/// Weights add up to one but for their rounding.
+const WEIGHT_ROUNDING: f64 = 0.01;
 
 /// Applies an event to the state; what is to be done about it comes back in order.
 pub fn reduce(state: &mut State, now: Millis, event: Event) -> Vec<Effect> {
@@ -49,7 +54,12 @@
             Event::ClientOpened(client) => self.client_opened(client),
             Event::ClientClosed(client) => self.client_closed(client),
             Event::Query(client, query) => self.query(client, query),
-            Event::Malformed => self.state.counters.queries_malformed += 1,
+            Event::Malformed(client) => {
+                self.state.counters.queries_malformed += 1;
+                if let Some(c) = client.and_then(|client| self.state.clients.get_mut(&client)) {
+                    c.idle_since = now;
+                }
+            }
             Event::HealthAsked(client) => {
                 let ready = self.state.terminating.is_none() && !self.state.nodes.is_empty();
                 self.reply(client, Reply::Health { ready });
@@ -64,7 +74,7 @@
                 self.part_ended(conn, attempt, end, rows, report);
             }
             Event::ProbeEnded { conn, good, report } => self.probe_ended(conn, good, report),
-            Event::Broken { conn, why } => self.broken(conn, &why),
+            Event::Broken { conn, why, spoilt } => self.broken(conn, &why, spoilt),
             Event::Nodes { list, wall_ahead } => self.nodes(list, wall_ahead),
             Event::WatchLost => {
                 self.state.counters.watches_lost += 1;
@@ -87,12 +97,20 @@
 
     fn client_opened(&mut self, client: ClientId) {
         self.state.counters.clients_opened += 1;
-        self.state.clients.insert(client, Client { query: None, idle_since: self.now });
-        // Clients keep connections for as long as we do: without this they use up the descriptors.
-        if self.state.clients.len() > self.state.limits.clients {
-            let idle = self.state.clients.iter().filter(|(_, c)| c.query.is_none());
-            if let Some(oldest) = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)) {
-                self.effects.push(Effect::CloseClient(*oldest.0));
+        let fresh = Client { query: None, idle_since: self.now, asked: false, closing: false };
+        self.state.clients.insert(client, fresh);
+        // Clients keep connections for as long as we do: without this they use up the descriptors. Who never said
+        // anything goes first, so that a crowd of such cannot push out those that ask.
+        let staying = self.state.clients.values().filter(|c| !c.closing).count();
+        if staying > self.state.limits.clients {
+            let asks = |c: &Client| c.asked || c.idle_since + SILENT > self.now;
+            let idle = self.state.clients.iter_mut().filter(|(_, c)| c.query.is_none() && !c.closing);
+            let first = idle
+                .min_by(|(_, a), (_, b)| asks(a).cmp(&asks(b)).then(a.idle_since.total_cmp(&b.idle_since)));
+            if let Some((id, c)) = first {
+                c.closing = true;
+                self.state.counters.clients_shed += 1;
+                self.effects.push(Effect::CloseClient(*id));
             }
         }
     }
@@ -109,8 +127,8 @@
 
     fn reply(&mut self, client: ClientId, reply: Reply) {
         let Some(c) = self.state.clients.get_mut(&client) else { return };
-        (c.query, c.idle_since) = (None, self.now);
-        let close = self.state.terminating.is_some();
+        (c.query, c.idle_since, c.asked) = (None, self.now, true);
+        let close = self.leaving();
         self.effects.push(Effect::Reply { client, reply, close });
     }
 
@@ -122,6 +140,7 @@
         shards.sort_unstable();
         let most = state.site.shards.unwrap_or(u32::MAX);
         let bad = |x: f64| !x.is_finite() || x < 0.0;
+        let sum: f64 = new.parts.iter().map(|p| p.weight).sum();
         let problem = if class.is_none() {
             Some("unknown class")
         } else if new.parts.is_empty() {
@@ -135,6 +154,9 @@
             || new.time_left.is_some_and(bad)
         {
             Some("a figure makes no sense")
+        } else if new.parts.iter().any(|p| p.weight == 0.0) || (sum - 1.0).abs() > WEIGHT_ROUNDING {
+            // What is whole is judged by weights.
+            Some("the weights are no shares of one")
         } else if c.query.is_some() || state.names.contains(&new.name) {
             // For the same reason a query's name must not be in use.
             Some("the id is in use")
@@ -169,7 +191,9 @@
         if let Some(c) = state.clients.get_mut(&client) {
             c.query = Some(query);
         }
-        let time_left = new.time_left.unwrap_or(state.site.module.classes[class].deadline);
+        // A deadline beyond the class's own would keep its timer for just as long.
+        let most = state.site.module.classes[class].deadline;
+        let time_left = new.time_left.map_or(most, |told| told.min(most));
         state.arm(self.now + time_left, Timer::Query(query));
         let tenant = new.tenant.and_then(|name| state.site.tenants.iter().position(|t| *t == name));
         let retry = new.retry;
@@ -505,7 +529,7 @@
         }
     }
 
-    fn broken(&mut self, conn: ConnId, why: &str) {
+    fn broken(&mut self, conn: ConnId, why: &str, spoilt: bool) {
         let Some(c) = self.state.conns.remove(&conn) else { return };
         if c.phase != Phase::Closing {
             self.state.counters.connections_broken += 1;
@@ -513,7 +537,8 @@
                 self.effects.push(Effect::Log(format!("connection to node {} ended: {why}", c.node.0)));
             }
         }
-        self.lose(&c.attempts, &c.probes, &c);
+        self.state.counters.connections_spoilt += u64::from(spoilt);
+        self.lose(&c.attempts, &c.probes, &c, if spoilt { Outcome::Error } else { Outcome::Reset });
         for id in c.attempts {
             self.settle(id);
         }
@@ -528,17 +553,16 @@
         let lost = Conn { phase: was, probes: std::mem::take(&mut c.probes), ..Conn::new(c.node, self.now) };
         // The writer may get a frame out before it sees the order to close: each may have run.
         let (attempts, lost) = (c.attempts.clone(), Conn { written: c.handed, ..lost });
-        self.lose(&attempts, &lost.probes, &lost);
+        self.lose(&attempts, &lost.probes, &lost, Outcome::Reset);
     }
 
-    /// Ends all attempts and probes of a connection that is no more, by what was written of them.
-    fn lose(&mut self, attempts: &BTreeSet<AttemptId>, probes: &VecDeque<Probe>, c: &Conn) {
+    /// Ends all attempts and probes of a connection that is no more, by what was written of them; `whole` is the
+    /// outcome of those that may have run.
+    fn lose(&mut self, attempts: &BTreeSet<AttemptId>, probes: &VecDeque<Probe>, c: &Conn, whole: Outcome) {
         for id in attempts {
             match self.state.attempts.get(id).map(|a| a.stage) {
                 // Part of a frame proves that it never ran; a whole one may have.
-                Some(Stage::Handed(_, message)) if message <= c.written => {
-                    self.end(*id, Outcome::Reset, None)
-                }
+                Some(Stage::Handed(_, message)) if message <= c.written => self.end(*id, whole, None),
                 Some(Stage::Placed(_) | Stage::Handed(..)) => self.end(*id, Outcome::ConnectFailed, None),
                 _ => {}
             }
@@ -617,16 +641,25 @@
                 list.entries.iter().any(|e| self.state.node_ids.get(&e.name).is_some_and(|known| known == id))
             };
             leaving.extend(self.state.nodes.keys().copied().filter(|id| !listed(id)));
+            for id in &leaving {
+                if let Some(node) = self.state.nodes.get_mut(id) {
+                    node.gone.get_or_insert(self.now);
+                }
+            }
         }
         for e in list.entries {
             let state = &mut *self.state;
-            let fresh = ReplicaId(state.node_ids.len() as u32);
-            let replica = *state.node_ids.entry(e.name).or_insert(fresh);
+            let replica = *state.node_ids.entry(e.name).or_insert_with(|| {
+                state.next_node += 1;
+                ReplicaId(state.next_node - 1)
+            });
             let node = state.nodes.entry(replica).or_insert_with(|| Node {
                 address: e.address.clone(),
                 started_unix: 0.0,
                 started: None,
+                gone: None,
             });
+            node.gone = (e.state == ReplicaState::Removed).then_some(self.now);
             if node.started_unix != e.started_unix {
                 node.started_unix = e.started_unix;
                 // A start that the wall clock puts in the future has been by now.
@@ -644,9 +677,21 @@
         for node in leaving {
             self.retire(node);
         }
+        self.forget_nodes();
         self.news.push_back(api::Event::Replicas { complete: list.complete, entries });
     }
 
+    /// Nodes gone for longer than any takes to get warm are new ones should they come back: where each release
+    /// brings new names, those of the old must not pile up.
+    fn forget_nodes(&mut self) {
+        let State { nodes, node_ids, conns, site, counters, .. } = &mut *self.state;
+        let stays = |gone: Option<Millis>| gone.is_none_or(|t| self.now - t < site.module.warm_after);
+        let before = nodes.len();
+        nodes.retain(|id, n| stays(n.gone) || conns.values().any(|c| c.node == *id));
+        counters.nodes_forgotten += (before - nodes.len()) as u64;
+        node_ids.retain(|_, id| nodes.contains_key(id));
+    }
+
     /// New figures count for what comes from now on; what is held goes on as it began.
     fn settings(&mut self, site: SiteSettings, limits: Limits) {
         self.state.counters.reloads += 1;
@@ -740,22 +785,26 @@
         self.drain();
     }
 
-    /// While this mixer leaves: idle clients are closed, new ones are still served for a while.
+    /// Is this mixer leaving, and has it served as ever for long enough?
+    fn leaving(&self) -> bool {
+        self.state.terminating.is_some_and(|since| self.now >= since + DRAIN_SERVES)
+    }
+
+    /// While this mixer leaves: all are served for a while, then none are accepted and idle ones are closed.
     fn drain(&mut self) {
         let Some(since) = self.state.terminating else { return };
-        let idle =
-            |c: &Client| c.query.is_none() && (c.idle_since < since || c.idle_since + DRAIN_IDLE <= self.now);
+        if self.now < since + DRAIN_SERVES {
+            return self.state.arm(since + DRAIN_SERVES, Timer::Drain);
+        }
+        self.effects.push(Effect::StopAccepting);
+        let idle = |c: &Client| c.query.is_none() && c.idle_since + DRAIN_IDLE <= self.now;
         let idle = self.state.clients.iter().filter(|(_, c)| idle(c));
         self.effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
-        if self.now >= since + DRAIN_ACCEPTS {
-            self.effects.push(Effect::StopAccepting);
-        }
-        self.state.arm(self.now + DRAIN_IDLE / 5.0, Timer::Drain);
+        self.state.arm(self.now + DRAIN_IDLE, Timer::Drain);
     }
 
     fn check_exit(&mut self) {
-        let done = self.state.terminating.is_some_and(|since| self.now >= since + DRAIN_ACCEPTS);
-        if done && self.state.clients.is_empty() && !self.state.exited {
+        if self.leaving() && self.state.clients.is_empty() && !self.state.exited {
             self.state.exited = true;
             self.effects.push(Effect::Exit);
         }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -37,6 +37,7 @@
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) nodes: BTreeMap<ReplicaId, Node>,
     pub(super) node_ids: HashMap<Arc<str>, ReplicaId>,
+    pub(super) next_node: u32,
     pub(super) conns: BTreeMap<ConnId, Conn>,
     /// Names of the queries held: node frames name parts by them.
     pub(super) names: BTreeSet<Arc<str>>,
@@ -81,6 +82,10 @@
     pub query: Option<QueryId>,
     /// Since when it has had no query.
     pub idle_since: Millis,
+    /// It has had an answer.
+    pub asked: bool,
+    /// It was told to close to make room for others.
+    pub closing: bool,
 }
 
 pub(super) struct Query {
@@ -131,6 +136,8 @@
     /// As told, and on the core's clock. Converted once: a start converted anew would look like another one.
     pub started_unix: Millis,
     pub started: Option<Millis>,
+    /// Since when the list has been without it.
+    pub gone: Option<Millis>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -224,6 +231,7 @@
             attempts: BTreeMap::new(),
             nodes: BTreeMap::new(),
             node_ids: HashMap::new(),
+            next_node: 0,
             conns: BTreeMap::new(),
             names: BTreeSet::new(),
             timers: BTreeSet::new(),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -272,7 +272,7 @@
     fn pick(&mut self, part: PartId, actions: &mut Vec<Action>) -> Option<ReplicaId> {
         let p = self.parts.get(&part)?;
         let query = p.query;
-        let up = |id: ReplicaId| self.replicas[&id].up;
+        let up = |id: ReplicaId| self.replicas.get(&id).is_some_and(|r| r.up);
         let told = p.drawn.filter(|(a, b)| up(*a) && up(*b));
         let (a, b) = match told {
             Some(drawn) => drawn,
@@ -951,6 +951,12 @@
         for id in ids {
             self.tend(id, actions);
         }
+        // Who has been gone for longer than any takes to get warm is forgotten: new ones come under new names.
+        let (now, warm_after) = (self.now, self.set.warm_after);
+        self.replicas.retain(|_, r| {
+            r.left_at = if r.up { None } else { r.left_at.or(Some(now)) };
+            r.left_at.is_none_or(|t| now - t < warm_after) || !r.calls.is_empty()
+        });
         let ids: Vec<ReplicaId> = self.replicas.keys().copied().collect();
         for id in ids {
             let r = &self.replicas[&id];
--- a/src/net/flight/front.rs
+++ b/src/net/flight/front.rs
@@ -124,7 +124,7 @@
 
 impl Front {
     async fn malformed(&self, status: Status) -> Status {
-        let _ = self.to_core.send(Input::Event(Event::Malformed)).await;
+        let _ = self.to_core.send(Input::Event(Event::Malformed(None))).await;
         status
     }
 
--- a/src/net/flight/node.rs
+++ b/src/net/flight/node.rs
@@ -36,6 +36,9 @@
 /// A stream that is dropped is reset on the wire within that, unless it had ended by itself.
 const RESET_WITHIN: Duration = Duration::from_millis(20);
 
+/// What a call ends with whose answer is none.
+const UNREADABLE: &str = "an answer that cannot be read";
+
 type Client = FlightServiceClient<Http2>;
 /// A call's end; an error closes the connection.
 type Calls = JoinSet<Result<(), &'static str>>;
@@ -43,7 +46,8 @@
 /// Serves one connection until either side ends it, and says so once it is closed.
 pub(crate) async fn run(conn: ConnId, at: String, orders: mpsc::Receiver<ToNode>, to_core: ToCore) {
     let why = connect(conn, &at, orders, &to_core).await.err().unwrap_or_default();
-    let _ = to_core.send(Input::Event(Event::Broken { conn, why })).await;
+    let spoilt = why == UNREADABLE;
+    let _ = to_core.send(Input::Event(Event::Broken { conn, why, spoilt })).await;
 }
 
 async fn connect(
@@ -166,7 +170,7 @@
     let (end, rows) = match fetch(client, &part).await {
         Ok(rows) => (End::Good, rows),
         Err(Failed::End(end)) => (end, Vec::new()),
-        Err(Failed::Malformed) => return Err("an answer that cannot be read"),
+        Err(Failed::Malformed) => return Err(UNREADABLE),
     };
     let event = Event::PartEnded { conn, attempt, end, rows, report: None };
     let _ = to_core.send(Input::Event(event)).await;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -22,14 +22,25 @@
 /// A request's line and headers together.
 const HEAD_MOST: usize = 16 << 10;
 const HEADERS_MOST: usize = 64;
-/// A request that has begun must be in by then: against clients that hold a connection by trickling.
-const REQUEST_WITHIN: Duration = Duration::from_secs(10);
+/// A request that has begun must be in by then, and the first one on a connection by then after it opened: against
+/// clients that hold a connection by trickling, or by saying nothing at all.
+const REQUEST_WITHIN: Duration = Duration::from_millis(2500);
+/// And by then where its place is wanted for others.
+const REQUEST_HURRIED: Duration = Duration::from_millis(300);
 /// A client that does not take its answer for so long is cut off.
 const WRITE_WITHIN: Duration = Duration::from_secs(5);
-/// After the last answer: the client's close is waited for, lest what it sent meanwhile resets the answer.
-const LINGER: Duration = Duration::from_secs(1);
-/// An idle connection is closed after so long.
-const IDLE: Duration = Duration::from_secs(120);
+/// After the last answer what the client still sends is read and dropped, lest it resets the answer: for so long,
+/// so many bytes, and until it has paused for so long.
+const DRAIN: Duration = Duration::from_secs(5);
+const DRAIN_MOST: usize = 80 << 20;
+const DRAIN_PAUSE: Duration = Duration::from_millis(500);
+/// An idle connection is closed after so long: memory must not grow with all that ever asked once.
+const IDLE: Duration = Duration::from_secs(15);
+/// Most bytes read at once.
+const READ: usize = 4 << 10;
+const DRAIN_READ: usize = 16 << 10;
+/// Bytes that a client may send ahead of its answer.
+const AHEAD_MOST: usize = 4 << 10;
 
 /// Accepts clients until aborted.
 pub(crate) async fn accept(listener: TcpListener, to_core: ToCore, limits: Limits) {
@@ -64,7 +75,9 @@
     if to_core.send(Input::Client(client, to_client)).await.is_err() {
         return;
     }
-    let mut session = Session { stream, client, to_core, orders, input: BytesMut::new(), closing: false };
+    let since = Instant::now();
+    let mut session =
+        Session { stream, client, to_core, orders, input: BytesMut::new(), since, closing: false };
     let _ = session.run().await; // an error here is the client's own: it has gone
     let _ = to_core.send(Input::Event(Event::ClientClosed(client))).await;
 }
@@ -91,42 +104,47 @@
     to_core: &'a ToCore,
     orders: mpsc::Receiver<ToClient>,
     input: BytesMut,
+    /// When it opened, or its last answer was out.
+    since: Instant,
     /// Ends after the request under way.
     closing: bool,
 }
 
 impl Session<'_> {
     async fn run(&mut self) -> io::Result<()> {
+        let mut first = true;
         loop {
-            match self.request().await? {
-                None => return self.linger().await,
+            match self.request(std::mem::take(&mut first)).await? {
+                None => return Ok(()),
                 Some(Ok(request)) => {
                     let _ = self.to_core.send(Input::Event(request.event)).await;
                     let Some((reply, close)) = self.reply().await? else { return Ok(()) };
                     let close = close || self.closing || !request.keep_alive;
                     self.write(&render(reply, close)).await?;
                     if close {
-                        return self.linger().await;
+                        return self.drain().await;
                     }
+                    self.since = Instant::now();
                 }
                 Some(Err(reject)) => {
-                    let _ = self.to_core.send(Input::Event(Event::Malformed)).await;
+                    let _ = self.to_core.send(Input::Event(Event::Malformed(Some(self.client)))).await;
                     // Where the next request begins cannot be known now.
                     let body = format!("{}\n", reject.why);
                     self.write(&response(reject.status, "text/plain", "", body.as_bytes(), true)).await?;
-                    return self.linger().await;
+                    return self.drain().await;
                 }
             }
         }
     }
 
     /// Reads one request; none where the connection ends between requests.
-    async fn request(&mut self) -> io::Result<Option<Result<Request, Reject>>> {
-        let mut by = Instant::now() + IDLE;
-        let mut begun = false;
+    async fn request(&mut self, first: bool) -> io::Result<Option<Result<Request, Reject>>> {
+        let mut by = self.since + if first { REQUEST_WITHIN } else { IDLE };
+        let mut begun = None;
         loop {
-            if !begun && !self.input.is_empty() {
-                (begun, by) = (true, Instant::now() + REQUEST_WITHIN);
+            if begun.is_none() && !self.input.is_empty() {
+                begun = Some(Instant::now());
+                by = if first { by } else { Instant::now() + REQUEST_WITHIN };
             }
             match self.parse() {
                 Ok(ControlFlow::Break(request)) => return Ok(Some(Ok(request))),
@@ -137,14 +155,16 @@
                 }
                 Err(reject) => return Ok(Some(Err(reject))),
             }
-            if self.closing && !begun {
-                return Ok(None);
+            match begun {
+                None if self.closing => return Ok(None),
+                Some(begun) if self.closing => by = by.min(begun + REQUEST_HURRIED),
+                _ => {}
             }
             tokio::select! {
-                read = timeout_at(by, self.stream.read_buf(&mut self.input)) => match read {
+                read = timeout_at(by, read(&self.stream, &mut self.input)) => match read {
                     Ok(Ok(0)) => return Ok(None),
                     Ok(read) => drop(read?),
-                    Err(_) if begun => {
+                    Err(_) if begun.is_some() => {
                         let late = Reject { status: "408 Request Timeout", why: "the request did not come in time" };
                         return Ok(Some(Err(late)));
                     }
@@ -175,16 +195,15 @@
             Err(_) => return Err(bad("no HTTP request")),
         };
         let header = |name: &str| {
-            let all = head.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
-            all.map(|h| std::str::from_utf8(h.value).map(str::trim)).next().transpose()
+            let mut all = head.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+            let first = all.next().map(|h| std::str::from_utf8(h.value).map(str::trim)).transpose();
+            // Which of two a front went by cannot be known: the other way to smuggle requests.
+            if all.next().is_some() && name != "connection" {
+                return Err(bad("a header is there twice"));
+            }
+            first.map_err(|_| bad("a header that is no text"))
         };
-        let header = |name: &str| header(name).map_err(|_| bad("a header that is no text"));
         let over_long = Reject { status: "413 Content Too Large", why: "the body is over 64 KiB" };
-        let lengths = head.headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length"));
-        if lengths.count() > 1 {
-            // Which of them a front went by cannot be known: the other way to smuggle requests.
-            return Err(bad("Content-Length is there twice"));
-        }
         let length = match header("content-length")? {
             None => None,
             Some(n) if !n.is_empty() && n.bytes().all(|b| b.is_ascii_digit()) => match n.parse::<usize>() {
@@ -206,7 +225,8 @@
             rest.extend_from_slice(&self.input[used..]);
             let mut body = BytesMut::new();
             let done = Chunks::default().take(&mut rest, &mut body).map_err(|_| bad("a bad chunk"))?;
-            if body.len() > BODY_MOST || rest.len() > BODY_MOST {
+            // All of it counts, sizes and trailers too: those alone could go on for ever.
+            if body.len() > BODY_MOST || self.input.len() > used + 2 * BODY_MOST {
                 return Err(over_long);
             }
             done.then(|| body.freeze())
@@ -235,6 +255,9 @@
         };
         let left = if chunked { rest.len() } else { self.input.len() - used - body.len() };
         self.input.advance(self.input.len() - left);
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
         Ok(ControlFlow::Break(Request { event, keep_alive }))
     }
 
@@ -248,7 +271,7 @@
                     None => return Ok(None),
                 },
                 // Only a client that leaves, or sends ahead, makes itself heard now.
-                read = self.stream.read_buf(&mut self.input), if self.input.len() < HEAD_MOST + BODY_MOST => {
+                read = read(&self.stream, &mut self.input), if self.input.len() < AHEAD_MOST => {
                     if read? == 0 {
                         return Ok(None);
                     }
@@ -262,16 +285,46 @@
         timeout(WRITE_WITHIN, self.stream.write_all(bytes)).await?
     }
 
-    /// Ends the connection so that what was written arrives.
-    async fn linger(&mut self) -> io::Result<()> {
+    /// Ends the connection so that what was written arrives, though the client may be sending still.
+    async fn drain(&mut self) -> io::Result<()> {
         self.stream.shutdown().await?;
-        let until = Instant::now() + LINGER;
-        let mut scrap = [0; 1024];
-        while let Ok(Ok(1..)) = timeout_at(until, self.stream.read(&mut scrap)).await {}
+        self.input = BytesMut::new();
+        let until = Instant::now() + DRAIN;
+        let (mut scrap, mut dropped) = (vec![0; DRAIN_READ], 0);
+        while dropped < DRAIN_MOST {
+            let by = until.min(Instant::now() + DRAIN_PAUSE);
+            tokio::select! {
+                read = timeout_at(by, self.stream.read(&mut scrap)) => match read {
+                    Ok(Ok(n)) if n > 0 => dropped += n,
+                    _ => break,
+                },
+                // Its place is wanted, or the program ends.
+                _ = self.orders.recv() => break,
+            }
+        }
         Ok(())
     }
 }
 
+/// Reads what is there. An idle connection holds no buffer: there may be many of them.
+async fn read(stream: &TcpStream, input: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        if input.is_empty() {
+            *input = BytesMut::new();
+        }
+        input.reserve(READ);
+        match stream.try_read_buf(input) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                if input.is_empty() {
+                    *input = BytesMut::new();
+                }
+            }
+            read => return read,
+        }
+    }
+}
+
 const fn not_allowed() -> Reject {
     Reject { status: "405 Method Not Allowed", why: "not with this method" }
 }
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -7,13 +7,19 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 use std::{fmt, io};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
 
-/// No frame is longer: against a node that names a length this mixer cannot hold.
-const FRAME_MOST: usize = 1 << 20;
+/// No frame is longer, as no client's answer holds more: against a node that names a length this mixer cannot hold.
+const FRAME_MOST: usize = 80 << 10;
+/// A frame that has begun is in by then: against one whose length does not fit, behind which nothing is heard.
+const FRAME_WITHIN: Duration = Duration::from_millis(250);
+/// Figures above that are no load.
+const LOAD_MOST: f64 = 1e6;
 /// Most bytes read at once.
 const READ: usize = 16 << 10;
 
@@ -23,6 +29,8 @@
     Length(usize),
     Letter(u8),
     Line,
+    Unfinished,
+    Unasked,
     /// The node's own words: it could not use ours.
     Told(String),
 }
@@ -33,6 +41,8 @@
             Self::Length(n) => write!(f, "a frame of {n} bytes"),
             Self::Letter(b) => write!(f, "a frame of unknown letter {:?}", char::from(*b)),
             Self::Line => write!(f, "an answer that cannot be read"),
+            Self::Unfinished => write!(f, "a frame that does not end"),
+            Self::Unasked => write!(f, "an answer to what was not asked"),
             Self::Told(words) => write!(f, "the node could not use a frame: {words}"),
         }
     }
@@ -54,12 +64,12 @@
 
 /// Serves one connection until either side ends it, and says so once it is closed.
 pub(crate) async fn run(conn: ConnId, address: Arc<str>, orders: mpsc::Receiver<ToNode>, to_core: ToCore) {
-    let why = match connect(conn, &address, orders, &to_core).await {
-        Ended::Ordered => String::new(),
-        Ended::Io(e) => e.to_string(),
-        Ended::Bad(e) => e.to_string(),
+    let (why, spoilt) = match connect(conn, &address, orders, &to_core).await {
+        Ended::Ordered => (String::new(), false),
+        Ended::Io(e) => (e.to_string(), false),
+        Ended::Bad(e) => (e.to_string(), true),
     };
-    let _ = to_core.send(Input::Event(Event::Broken { conn, why })).await;
+    let _ = to_core.send(Input::Event(Event::Broken { conn, why, spoilt })).await;
 }
 
 async fn connect(conn: ConnId, address: &str, mut orders: mpsc::Receiver<ToNode>, to_core: &ToCore) -> Ended {
@@ -94,6 +104,8 @@
     ends: VecDeque<u64>,
     written: u64,
     input: BytesMut,
+    /// When the frame began that is not in whole.
+    begun: Option<Instant>,
     /// Attempts out, by their name in frames and back.
     out: HashMap<String, AttemptId>,
     names: HashMap<AttemptId, String>,
@@ -112,6 +124,7 @@
             ends: VecDeque::new(),
             written: 0,
             input: BytesMut::new(),
+            begun: None,
             out: HashMap::new(),
             names: HashMap::new(),
             given_up: HashMap::new(),
@@ -124,6 +137,7 @@
                 true => Interest::READABLE,
                 false => Interest::READABLE | Interest::WRITABLE,
             };
+            let overdue = self.begun.unwrap_or_else(Instant::now) + FRAME_WITHIN;
             let step = tokio::select! {
                 order = orders.recv() => match order {
                     Some(order) => {
@@ -137,6 +151,7 @@
                     Ok(ready) if ready.is_writable() && !self.output.is_empty() => self.write(stream).await,
                     Ok(_) => self.read(stream).await,
                 },
+                () = sleep_until(overdue), if self.begun.is_some() => Err(Ended::Bad(BadFrame::Unfinished)),
             };
             if let Err(ended) = step {
                 return ended;
@@ -223,24 +238,34 @@
             Err(e) => return Err(e.into()),
         }
         while let Some(frame) = next_frame(&mut self.input).map_err(Ended::Bad)? {
-            if let Some(event) = self.decode(frame).map_err(Ended::Bad)? {
-                self.tell(event).await;
-            }
+            self.begun = None;
+            let event = self.decode(frame).map_err(Ended::Bad)?;
+            self.tell(event).await;
+        }
+        if self.input.is_empty() {
+            // A large frame's buffer is not kept for the connection's lifetime.
+            (self.input, self.begun) = (BytesMut::new(), None);
+        } else {
+            self.begun.get_or_insert_with(Instant::now);
         }
         Ok(())
     }
 
-    /// What a frame tells the core, if anything.
-    fn decode(&mut self, mut frame: Bytes) -> Result<Option<Event>, BadFrame> {
+    /// What a frame tells the core.
+    fn decode(&mut self, mut frame: Bytes) -> Result<Event, BadFrame> {
         let letter = frame.get_u8();
         match letter {
             b'q' => {
                 let end = frame.iter().position(|b| *b == b'\n').ok_or(BadFrame::Line)?;
                 let line = frame.split_to(end);
                 frame.advance(1);
-                let words: Vec<&str> =
-                    std::str::from_utf8(&line).map_err(|_| BadFrame::Line)?.split(' ').collect();
-                let [name, end, _score, report] = words[..] else { return Err(BadFrame::Line) };
+                // The report is all the rest of the line. One that cannot be read takes nothing from the answer.
+                let mut words = line.splitn(4, |b| *b == b' ');
+                let mut word = || words.next().and_then(|w| std::str::from_utf8(w).ok());
+                let (Some(name), Some(end), Some(score)) = (word(), word(), word()) else {
+                    return Err(BadFrame::Line);
+                };
+                let report = word().and_then(load_report);
                 let end = match end {
                     "good" => End::Good,
                     "bad" => End::Bad,
@@ -248,20 +273,20 @@
                     _ => return Err(BadFrame::Line),
                 };
                 // Values are passed on as text: one that is none could not be passed as it was given.
-                if std::str::from_utf8(&frame).is_err() {
+                if score.parse::<f64>().is_err() || std::str::from_utf8(&frame).is_err() {
                     return Err(BadFrame::Line);
                 }
-                let report = load_report(report);
-                let Some(attempt) = self.out.remove(name).or_else(|| self.given_up.remove(name)) else {
-                    return Ok(None);
-                };
+                // An answer under an unknown name may have been that to a part which would now be waited for.
+                let attempt = self.out.remove(name).or_else(|| self.given_up.remove(name));
+                let attempt = attempt.ok_or(BadFrame::Unasked)?;
                 self.names.remove(&attempt);
-                Ok(Some(Event::PartEnded { conn: self.conn, attempt, end, rows: vec![frame], report }))
+                Ok(Event::PartEnded { conn: self.conn, attempt, end, rows: vec![frame], report })
             }
             b'p' => {
-                let words = std::str::from_utf8(&frame).map_err(|_| BadFrame::Line)?.trim();
-                let report = load_report(words);
-                Ok(Some(Event::ProbeEnded { conn: self.conn, good: words != "bad", report }))
+                // A report that cannot be read is no report; the node is well all the same.
+                let words = String::from_utf8_lossy(&frame);
+                let report = load_report(words.trim());
+                Ok(Event::ProbeEnded { conn: self.conn, good: words.trim() != "bad", report })
             }
             b'r' => Err(BadFrame::Told(String::from_utf8_lossy(&frame).into_owned())),
             other => Err(BadFrame::Letter(other)),
@@ -292,7 +317,9 @@
     let mut report = LoadReport::default();
     for pair in words.split(',') {
         let Some((name, figure)) = pair.split_once('=') else { continue };
-        let Ok(figure) = figure.parse::<f64>() else { continue };
+        // Noise reads as numbers too: one of these would rule the mean over all nodes.
+        let figure = figure.parse::<f64>().ok().filter(|f| (0.0..=LOAD_MOST).contains(f));
+        let Some(figure) = figure else { continue };
         match name {
             "queue" => report.queue = Some(figure),
             "inflight" => report.inflight = Some(figure),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -133,6 +133,11 @@
                 }
             },
         };
+        match &event {
+            Event::ClientClosed(client) => drop(hub.clients.remove(client)),
+            Event::Broken { conn, .. } => drop(hub.conns.remove(conn)),
+            _ => {}
+        }
         let effects = reduce(&mut state, clock.now(), event);
         if hub.carry_out(effects) {
             break Ok(());
@@ -216,8 +221,6 @@
                 Effect::Log(text) => eprintln!("{text}"),
             }
         }
-        self.clients.retain(|_, to| !to.is_closed());
-        self.conns.retain(|_, to| !to.is_closed());
         false
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,6 +163,8 @@
     pub started: Option<f64>,
     /// When it was last found gone, by own evidence.
     pub lost_at: Option<f64>,
+    /// When it was found to have left the list.
+    pub left_at: Option<f64>,
     /// Calls out: when sent, and parts still out on each.
     pub calls: BTreeMap<u64, (f64, u32)>,
     pub next_call: u64,
--- a/tests/common/flight.rs
+++ b/tests/common/flight.rs
@@ -30,6 +30,8 @@
     Good(&'static str),
     Bad,
     Later,
+    /// Answer with what cannot be read.
+    Spoilt,
     /// Give a row and break the whole connection off.
     Cut(&'static str),
 }
@@ -130,6 +132,10 @@
                 let more = stream::pending().inspect(move |_| assert!(tell.0.send(()).is_ok()));
                 Ok(Response::new(encode(stream::iter([Ok(row(text))]).chain(more).boxed())))
             }
+            Ok(Play::Spoilt) => {
+                let none = FlightData { data_header: "noise".into(), ..FlightData::default() };
+                Ok(Response::new(stream::iter([Ok(none)]).boxed()))
+            }
             Ok(Play::Later) => Err(Status::resource_exhausted("full")),
             Ok(Play::Bad) => Err(Status::internal("broken")),
             Err(_) => std::future::pending().await,
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -77,6 +77,7 @@
                 Play::Good(value) => links[i].answer(&id, "good", value),
                 Play::Bad => links[i].answer(&id, "bad", ""),
                 Play::Later => links[i].answer(&id, "later", ""),
+                Play::Spoilt => links[i].put('q', "noise"),
                 // Half an answer, and no more.
                 Play::Cut(value) => {
                     links[i].put_cut('q', &format!("{id} good 1 -\n{value}"));
@@ -275,6 +276,23 @@
     });
 }
 
+/// It may have run, and the connection is of no further use.
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt() {
+    everywhere(10_000, |mixer, front, nodes| {
+        let asking = ask(mixer, front, "q1", &[0], 9000);
+        let (at, part) = next(nodes);
+        nodes[at].play(part, Play::Spoilt);
+        let (at, part) = next(nodes);
+        nodes[at].play(part, Play::Good("whole"));
+        let outcome = asking.outcome();
+        let counters = mixer.counters();
+        assert_eq!((&outcome, counters["attempts_bad"]), (&answered("whole"), 1));
+        assert_eq!(counters["connections_spoilt"], 1);
+        vec![outcome]
+    });
+}
+
 #[test]
 fn three_failures_are_a_refusal_at_once() {
     everywhere(10_000, |mixer, front, nodes| {
