Count an error that comes at once as one part and as no work done

Checked by a trace of sends and ends a node: 38 parts a second went to either failing one and a quarter were served there, so their capacity lay idle. The further attempts of such parts were counted against the self-imposed budget (a fifth of what is sent) and waited for it. Ruled out: time-outs (few), resets (none), rejections (few), discovery. At fault in src/logic.rs: judge() booked three parts times the streak for each error, up to 12; tend() asked may_extra() with the budget unless the part had provably run nowhere. Now an error within a quarter of the typical time counts as one part, two at most, and its next attempt is free as one that met no work.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //! below acts through the busyness, or on who may be drawn; `docs/design.md` tells when.
 
 use crate::api::*;
-use crate::state::{Attempt, Balancer, Part, Query, Quotas, Recent, Replica, Tally, sane};
+use crate::state::{Attempt, Balancer, Part, Query, Quotas, Recent, Replica, Tally, never_ran, sane};
 
 // Constants: each a ratio, or a multiple of a setting or of something observed.
 /// Sweeps come every so many ticks: far finer than any latency that matters, far coarser than a tick.
@@ -33,6 +33,9 @@
 const GHOSTS_SUSPECT: f64 = 2.0;
 /// A part that failed other than by a full queue counts as so many: one is enough to make a suspect.
 const GHOSTS_FAILED: f64 = 3.0;
+/// An error that comes within this share of the typical time was no work: it counts as one part, and never alone
+/// makes a suspect. What such a server does serve is needed where its peers are full.
+const AT_ONCE: f64 = 0.25;
 /// Less than this of a failed part is forgotten: dust would lose every tie in a quiet fleet, for good.
 const GHOST_LEAST: f64 = 0.25;
 /// Slowness seen is capped here, so that its fading takes a bounded time.
@@ -386,7 +389,7 @@
             true => self.sent.add(self.now, 1),
             false => self.extras.add(self.now, 1),
         }
-        p.attempts.push(Attempt { replica, sent: self.now, call, busy, end: None });
+        p.attempts.push(Attempt { replica, sent: self.now, call, busy, end: None, worked: true });
         actions.push(Action::Send { part, replica, timeout });
     }
 
@@ -409,7 +412,7 @@
 
     /// Is an extra attempt within the budget, stated and self-imposed? The window is counted a tick safe
     /// at both ends. Stops storms: when all is slow every part is late, and copies would add to it. A part
-    /// that has run nowhere so far is no more work than a first one: only the stated budget binds it.
+    /// that has been worked on nowhere so far is no more than a first one: only the stated budget binds it.
     fn may_extra(&self, free: bool, most: f64) -> bool {
         let room = 1.0 - self.typical / (EXTRA_UNTIL * self.shortest_aim);
         let share = EXTRA_SHARE * room.max(EXTRA_LEAST);
@@ -515,7 +518,7 @@
             let p = &self.parts[&pid];
             let (idle, weight) = (p.live().next().is_none(), p.weight);
             let most = if idle && floor + ROUNDING >= need { 1.0 } else { UNFORCED_EXTRAS };
-            if self.may_send(p) && self.may_extra(p.maybe_ran().is_none(), most) {
+            if self.may_send(p) && self.may_extra(!p.worked(), most) {
                 have += self.ask(pid, actions);
             } else if idle && possible - weight < floor && !self.may_extra(true, 1.0) {
                 // Out of budget for a part it cannot do without: the client, told now, may still be in time.
@@ -560,6 +563,7 @@
         a.end = Some(outcome);
         let (replica, call, busy, clean) = (a.replica, a.call, a.busy, a.sent >= self.woke);
         let took = sane(took, self.now - a.sent).max(0.0);
+        a.worked = !never_ran(outcome) && (outcome != Outcome::Error || took >= AT_ONCE * self.typical);
         let (query, over, shard) = (p.query, p.over, p.shard);
         let came = outcome == Outcome::Ok && !over && !p.ok;
         if came {
@@ -666,6 +670,10 @@
                 if gone && r.streak >= 1.0 {
                     r.lost_at = Some(now);
                 }
+                if outcome == Outcome::Error && took < AT_ONCE * typical {
+                    r.ghosts = r.ghosts.max((r.ghosts + 1.0).min(GHOSTS_SUSPECT));
+                    return;
+                }
                 r.streak = (r.streak + 1.0).min(SLOW_MAX);
                 let each = if outcome == Outcome::Rejected { 1.0 } else { GHOSTS_FAILED };
                 r.ghosts = (r.ghosts + each * r.streak).min(SLOW_MAX);
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,6 +224,8 @@
     pub call: u64,
     pub busy: f64,
     pub end: Option<Outcome>,
+    /// It may have cost a server work.
+    pub worked: bool,
 }
 
 pub struct Part {
@@ -251,6 +253,10 @@
     pub fn tried(&self, replica: ReplicaId) -> bool {
         self.attempts.iter().any(|a| a.replica == replica)
     }
+    /// May it have cost a server work?
+    pub fn worked(&self) -> bool {
+        self.attempts.iter().any(|a| a.worked)
+    }
     /// When the first attempt was sent that may have run.
     pub fn maybe_ran(&self) -> Option<f64> {
         let never = |a: &&Attempt| matches!(a.end, Some(o) if never_ran(o));
