--- a/src/logic.rs
+++ b/src/logic.rs
@@ -558,12 +558,13 @@
 
     fn on_end(&mut self, id: PartId, attempt: usize, end: End, actions: &mut Vec<Action>) {
         let (outcome, took, report) = end;
+        let at_once = self.at_once;
         let Some(p) = self.parts.get_mut(&id) else { return };
         let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.end.is_none()) else { return };
         a.end = Some(outcome);
         let (replica, call, busy, clean) = (a.replica, a.call, a.busy, a.sent >= self.woke);
         let took = sane(took, self.now - a.sent).max(0.0);
-        a.worked = !never_ran(outcome) && (outcome != Outcome::Error || took >= AT_ONCE * self.typical);
+        a.worked = !never_ran(outcome) && (outcome != Outcome::Error || took >= at_once);
         let (query, over, shard) = (p.query, p.over, p.shard);
         let came = outcome == Outcome::Ok && !over && !p.ok;
         if came {
@@ -642,7 +643,7 @@
             let bad = outcome != Outcome::Ok || ratio > SLOW_SUSPECT;
             self.bad += (f64::from(u8::from(bad)) - self.bad) / SAMPLES as f64;
         }
-        let typical = self.typical;
+        let (typical, at_once) = (self.typical, self.at_once);
         let Some(r) = self.refreshed(id) else { return };
         match outcome {
             Outcome::Ok => {
@@ -670,7 +671,7 @@
                 if gone && r.streak >= 1.0 {
                     r.lost_at = Some(now);
                 }
-                if outcome == Outcome::Error && took < AT_ONCE * typical {
+                if outcome == Outcome::Error && took < at_once {
                     r.ghosts = r.ghosts.max((r.ghosts + 1.0).min(GHOSTS_SUSPECT));
                     return;
                 }
@@ -935,6 +936,7 @@
         self.swept = self.now;
         if self.latencies.len() >= ENOUGH {
             self.typical = self.latencies.quantile(0.5).max(self.set.tick);
+            self.at_once = AT_ONCE * self.typical;
             self.tail = self.latencies.quantile(TAIL).max(self.typical);
             self.unit = self.units.quantile(0.5).max(self.set.tick);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
     pub(crate) latencies: Recent,
     pub(crate) typical: f64,
     pub(crate) tail: f64,
+    /// What ends sooner can have done no work; 0 until it is known what is typical.
+    pub(crate) at_once: f64,
     pub(crate) unit: f64,
     pub(crate) longest_aim: f64,
     pub(crate) shortest_aim: f64,
@@ -74,6 +76,7 @@
             latencies: Recent::new(0),
             typical: 0.0,
             tail: 0.0,
+            at_once: 0.0,
             unit: 0.0,
             longest_aim: 0.0,
             shortest_aim: 0.0,
