Bound idle client connections, so that those who asked once leave places for others

A trace of client connections showed why: from 2 s on each request comes on a new connection and keeps it for good; within 0.9 s exactly 128 stood idle, a third of 384, all that clients may hold, and queries fell from 30 to 4 a quarter second. Ruled out: max_open, 4xx (none), the listener, restarts. At fault: core/reduce.rs client_opened() closed idle clients only against our own limit (192), which lies above theirs, and http.rs kept idle ones for 15 s. Now an idle client that had an answer counts against a sixth of the descriptors, the longest idle goes first; idle and silent connections close after 2.1 s; clients have what nodes (a quarter) and files leave. Who had an answer is shed before who has yet to ask: a close costs it a connection, not a request.

The third of the descriptors is the clients' scarce good, not ours.

--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -23,8 +23,8 @@
 const DRAIN_SERVES: Millis = 650.0;
 /// A client that has shown no request for so long is idle while this mixer leaves.
 const DRAIN_IDLE: Millis = 100.0;
-/// A client that has asked nothing for so long after it came is the first to go where there are too many.
-const SILENT: Millis = 250.0;
+/// A client that has asked nothing for so long after it came may be closed, and goes first where there are too many.
+const SILENT: Millis = 2000.0;
 /// Weights add up to one but for their rounding.
 const WEIGHT_ROUNDING: f64 = 0.01;
 
@@ -99,18 +99,41 @@
         self.state.counters.clients_opened += 1;
         let fresh = Client { query: None, idle_since: self.now, asked: false, closing: false };
         self.state.clients.insert(client, fresh);
-        // Clients keep connections for as long as we do: without this they use up the descriptors. Who never said
-        // anything goes first, so that a crowd of such cannot push out those that ask.
+        // Clients keep connections for as long as we do: without this they use up the descriptors. Who had an answer
+        // loses nothing by a close but a connection; the first request of one that came ahead would be lost.
         let staying = self.state.clients.values().filter(|c| !c.closing).count();
         if staying > self.state.limits.clients {
-            let asks = |c: &Client| c.asked || c.idle_since + SILENT > self.now;
-            let idle = self.state.clients.iter_mut().filter(|(_, c)| c.query.is_none() && !c.closing);
+            let rank = |c: &Client| match c.asked {
+                true => 1,
+                false if c.idle_since + SILENT <= self.now => 0,
+                false => 2,
+            };
+            let idle = self.state.clients.iter().filter(|(_, c)| c.query.is_none() && !c.closing);
             let first = idle
-                .min_by(|(_, a), (_, b)| asks(a).cmp(&asks(b)).then(a.idle_since.total_cmp(&b.idle_since)));
-            if let Some((id, c)) = first {
-                c.closing = true;
-                self.state.counters.clients_shed += 1;
-                self.effects.push(Effect::CloseClient(*id));
+                .min_by(|(_, a), (_, b)| rank(a).cmp(&rank(b)).then(a.idle_since.total_cmp(&b.idle_since)));
+            if let Some(id) = first.map(|(id, _)| *id) {
+                self.shed(id);
+            }
+        }
+    }
+
+    fn shed(&mut self, client: ClientId) {
+        if let Some(c) = self.state.clients.get_mut(&client) {
+            c.closing = true;
+            self.state.counters.clients_shed += 1;
+            self.effects.push(Effect::CloseClient(client));
+        }
+    }
+
+    /// Clients that ask once and keep their connection for good take the places of those who come next: of the idle
+    /// ones beyond a number the longest idle goes.
+    fn bound_idle(&mut self) {
+        let idle = |c: &Client| c.asked && c.query.is_none() && !c.closing;
+        let idle: Vec<_> = self.state.clients.iter().filter(|(_, c)| idle(c)).collect();
+        if idle.len() > self.state.limits.idle_clients {
+            let oldest = idle.into_iter().min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since));
+            if let Some(id) = oldest.map(|(id, _)| *id) {
+                self.shed(id);
             }
         }
     }
@@ -130,6 +153,7 @@
         (c.query, c.idle_since, c.asked) = (None, self.now, true);
         let close = self.leaving();
         self.effects.push(Effect::Reply { client, reply, close });
+        self.bound_idle();
     }
 
     fn query(&mut self, client: ClientId, new: NewQuery) {
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -8,6 +8,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Descriptors for all but clients and nodes, Flight's listener and gateways included.
+const FILES: usize = 32;
+
 /// How much the core may hold open.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -15,13 +18,23 @@
     pub node_connections: usize,
     /// Clients' connections beyond which idle ones are closed.
     pub clients: usize,
+    /// Of those, the ones that have had an answer and ask nothing now.
+    pub idle_clients: usize,
 }
 
 impl Limits {
-    /// Shares of the descriptors that the process may hold: half for clients, a quarter for nodes, the rest for
-    /// crossings, discovery and files.
+    /// Shares of the descriptors that the process may hold: a quarter for nodes, a few for listeners, discovery and
+    /// files, and of the rest a tenth for crossings; clients have the others. Those may hold a third of all for
+    /// requests: half of that may stand idle, or clients that ask once each leave no place for the next.
     pub fn of(sockets: usize) -> Self {
-        Limits { node_connections: (sockets / 4).max(1), clients: (sockets / 2).max(1) }
+        let nodes = sockets / 4;
+        let clients = (sockets - nodes).saturating_sub(FILES) * 9 / 10;
+        Limits { node_connections: nodes.max(1), clients: clients.max(1), idle_clients: (sockets / 6).max(1) }
+    }
+
+    /// Clients' connections that may be open at once, those being closed included.
+    pub fn clients_open(self) -> usize {
+        self.clients + self.clients / 9
     }
 }
 
--- a/src/net/flight/front.rs
+++ b/src/net/flight/front.rs
@@ -33,6 +33,8 @@
 const FIRST_CLIENT: u64 = 1 << 63;
 /// As for the other front, a query holds at most so many bytes.
 const TICKET_MOST: usize = 64 << 10;
+/// Gateways' connections, which come on top of the other front's.
+const GATEWAYS_MOST: usize = 16;
 /// Calls that one gateway's connection may have open.
 const CALLS_MOST: u32 = 256;
 
@@ -45,7 +47,7 @@
 ) {
     let front = Front { to_core, next: AtomicU64::new(FIRST_CLIENT) };
     // Descriptors are bounded: further gateways wait in the listener's queue.
-    let room = Arc::new(Semaphore::new((limits.clients / 8).max(1)));
+    let room = Arc::new(Semaphore::new((limits.clients / 8).clamp(1, GATEWAYS_MOST)));
     let incoming = stream::unfold((listener, room), |(listener, room)| async {
         let permit = room.clone().acquire_owned().await.ok()?;
         let accepted = listener.accept().await.map(|(stream, _)| {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -34,8 +34,9 @@
 const DRAIN: Duration = Duration::from_secs(5);
 const DRAIN_MOST: usize = 80 << 20;
 const DRAIN_PAUSE: Duration = Duration::from_millis(500);
-/// An idle connection is closed after so long: memory must not grow with all that ever asked once.
-const IDLE: Duration = Duration::from_secs(15);
+/// An idle connection is closed after so long, one that never asked too: clients that ask once and keep their
+/// connection for good take the places of others, theirs as much as ours.
+const IDLE: Duration = Duration::from_millis(2100);
 /// Most bytes read at once.
 const READ: usize = 4 << 10;
 const DRAIN_READ: usize = 16 << 10;
@@ -44,9 +45,9 @@
 
 /// Accepts clients until aborted.
 pub(crate) async fn accept(listener: TcpListener, to_core: ToCore, limits: Limits) {
-    // Beyond the number at which the core closes idle clients there is room for a quarter more: the others wait
-    // in the listener's queue, so that descriptors never run out.
-    let room = Arc::new(Semaphore::new(limits.clients + limits.clients / 4));
+    // Beyond the number at which the core closes idle clients there is room for a few more: the others wait in the
+    // listener's queue, so that descriptors never run out.
+    let room = Arc::new(Semaphore::new(limits.clients_open()));
     let mut next = 0;
     loop {
         let Ok(permit) = room.clone().acquire_owned().await else { return };
@@ -139,12 +140,12 @@
 
     /// Reads one request; none where the connection ends between requests.
     async fn request(&mut self, first: bool) -> io::Result<Option<Result<Request, Reject>>> {
-        let mut by = self.since + if first { REQUEST_WITHIN } else { IDLE };
+        let mut by = self.since + IDLE;
         let mut begun = None;
         loop {
             if begun.is_none() && !self.input.is_empty() {
                 begun = Some(Instant::now());
-                by = if first { by } else { Instant::now() + REQUEST_WITHIN };
+                by = if first { self.since } else { Instant::now() } + REQUEST_WITHIN;
             }
             match self.parse() {
                 Ok(ControlFlow::Break(request)) => return Ok(Some(Ok(request))),
