--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,8 +33,8 @@
 const GHOSTS_SUSPECT: f64 = 2.0;
 /// A part that failed other than by a full queue counts as so many: one is enough to make a suspect.
 const GHOSTS_FAILED: f64 = 3.0;
-/// An error that comes within this share of the typical time was no work: it counts as one part, and never alone
-/// makes a suspect. What such a server does serve is needed where its peers are full.
+/// An error that comes within this share of the typical time was no work: it counts as one part, and never
+/// alone makes a suspect. What such a server does serve is needed where its peers are full.
 const AT_ONCE: f64 = 0.25;
 /// Less than this of a failed part is forgotten: dust would lose every tie in a quiet fleet, for good.
 const GHOST_LEAST: f64 = 0.25;
@@ -73,8 +73,8 @@
 const UNFORCED_EXTRAS: f64 = 0.5;
 /// A further attempt starts when the time left is this many tails: enough for one more, with a margin.
 const HEDGE_TAILS: f64 = 2.0;
-/// Where no second copy may go out, a silent attempt is given up after so many tails at the soonest: work called
-/// off half done is done anew elsewhere, and in slow times that is what makes them slower.
+/// Where no second copy may go out, a silent attempt is given up after so many tails at the soonest: work
+/// called off half done is done anew elsewhere, and in slow times that is what makes them slower.
 const PATIENT_TAILS: f64 = 6.0;
 /// A cold replica gets its ramp's share of this many times what a warm peer serves: all aggregators together
 /// then stay near its capacity even where peers are full, as peers serve no more than theirs.
@@ -345,8 +345,8 @@
         Some((pool[i], pool[j]))
     }
 
-    /// A suspect loses by its busyness alone. Stops the herd: a lone sound holder that won every draw took the
-    /// parts of its whole set, was slow next, and handed the herd on.
+    /// A suspect loses by its busyness alone. Stops the herd: a lone sound holder that won every draw took
+    /// the parts of its whole set, was slow next, and handed the herd on.
     fn less_busy(&mut self, a: ReplicaId, b: ReplicaId) -> ReplicaId {
         let (ca, cb) = (self.cost(a), self.cost(b));
         if self.set.cross_zone_price > 0.0 && (ca - cb).abs() < ZONE_TIE {
@@ -355,7 +355,7 @@
                 return if home(a) { a } else { b };
             }
         }
-        // A probe that is overdue decides ties alone: against more, one lost probe would move a set's whole load.
+        // A probe that is overdue decides ties alone: else one lost probe would move a set's whole load.
         let overdue = |id: ReplicaId| {
             let r = &self.replicas[&id];
             r.probing && self.now - r.probed_at.max(self.woke) >= self.patience()
@@ -961,7 +961,7 @@
         for id in ids {
             self.tend(id, actions);
         }
-        // Who has been gone for longer than any takes to get warm is forgotten: new ones come under new names.
+        // Who has been gone for longer than any takes to get warm is forgotten: new ones have new names.
         let (now, warm_after) = (self.now, self.set.warm_after);
         self.replicas.retain(|_, r| {
             r.left_at = if r.up { None } else { r.left_at.or(Some(now)) };
