--- a/tests/mixer.rs
+++ b/tests/mixer.rs
@@ -564,9 +564,9 @@
 /// Clients that ask once and keep their connection give their places back, the longest idle first.
 #[test]
 fn who_asked_once_gives_its_place_back() {
-    let config = with_nodes(&[]).config().replace("\"sockets\":1024", "\"sockets\":60");
+    let config = with_nodes(&[]).config().replace("\"sockets\":1024", "\"sockets\":120");
     let mixer = Mixer::start(&config, None);
-    let mut clients: Vec<Client> = (0..12).map(|_| Client::connect(mixer.address)).collect();
+    let mut clients: Vec<Client> = (0..22).map(|_| Client::connect(mixer.address)).collect();
     for client in &mut clients {
         assert_eq!(client.ask("GET /metrics HTTP/1.1\r\n\r\n").status, 200);
     }
@@ -574,5 +574,5 @@
     clients[0].closed();
     clients[1].closed();
     assert!(shed.elapsed() < Duration::from_secs(1), "before they would be closed as idle");
-    assert_eq!(clients[2].ask("GET /metrics HTTP/1.1\r\n\r\n").status, 200);
+    assert_eq!(clients[21].ask("GET /metrics HTTP/1.1\r\n\r\n").status, 200);
 }
