Move nodes and lists of them to src/membership, a floor of their own

Need: config, core and inventory imported each other in a circle, because NodeEntry and NodeList lived in core. The change moves both types and changes nothing else.

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,8 +2,8 @@
 //! the module's stands here once; the simulator adapter uses it too.
 
 use crate::api::*;
-use crate::core::{NodeEntry, NodeList};
 use crate::json::{Field, FieldError};
+use crate::membership::{NodeEntry, NodeList};
 use miniserde::json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -1,12 +1,13 @@
 //! The reducer: every state change of the mixer, and the effects that follow from it.
 
 use super::state::{Attempt, Client, Conn, Node, Part, Phase, Probe, Query, Stage, State, Timer};
-use super::{AttemptId, CallPart, ClientId, ConnId, Effect, End, Event, Limits, NewQuery, NodeList, Reply};
+use super::{AttemptId, CallPart, ClientId, ConnId, Effect, End, Event, Limits, NewQuery, Reply};
 use crate::api::{
     self, Action, LoadReport, Millis, Outcome, PartId, PartSpec, QueryId, ReplicaEntry, ReplicaId,
     ReplicaState,
 };
 use crate::config::SiteSettings;
+use crate::membership::NodeList;
 use bytes::Bytes;
 use std::collections::{BTreeSet, VecDeque};
 
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -2,8 +2,8 @@
 //! takes the place of discovery where an operator's file names one, and is read again when it changes.
 
 use crate::api::ReplicaState;
-use crate::core::NodeEntry;
 use crate::json::FieldError;
+use crate::membership::NodeEntry;
 use miniserde::json::{Number, Value};
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod inventory;
 pub mod json;
 mod logic;
+pub mod membership;
 pub mod net;
 mod state;
 pub mod yaml;
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -2,8 +2,9 @@
 
 use super::{Input, ToCore};
 use crate::clock::Clock;
-use crate::core::{Event, NodeList};
+use crate::core::Event;
 use crate::inventory::parse;
+use crate::membership::NodeList;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,9 +12,8 @@
 
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
-use crate::core::{
-    AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, NodeList, Reply, State, reduce,
-};
+use crate::core::{AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, reduce};
+use crate::membership::NodeList;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
