--- /dev/null
+++ b/src/cli/run.rs
@@ -0,0 +1,13 @@
+//! `sailmux run`.
+
+use super::Failure;
+use crate::config::Config;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+pub(super) fn run() -> Result<(), Failure> {
+    let config = Config::load()?;
+    crate::logging::start(&config.operator.log);
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    Ok(LocalSet::new().block_on(&runtime, crate::net::serve(config))?)
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Where the program reads the time. Only this object asks the system for it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Clock {
     started: Instant,
     /// Unix time at the start: what the monotonic time is counted from.
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,12 +1,17 @@
 //! What a mixer is told at its start: environment and `RELAY_CONFIG`. The mapping of the platform's settings to
-//! the module's stands here once; the simulator adapter uses it too.
+//! the module's stands here once; the simulator adapter uses it too. The operators' own file is [`operator`]'s.
+
+pub mod operator;
+
+pub use operator::Operator;
 
 use crate::api::*;
 use crate::json::{Field, FieldError};
-use crate::membership::{NodeEntry, NodeList};
+use crate::membership::{Layout, NodeEntry, NodeList, NodeState};
+use crate::problem::Problems;
 use miniserde::json::Value;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::{env, fmt, fs};
 
@@ -32,6 +37,11 @@
 }
 
 impl SiteSettings {
+    /// Which cells hold a shard.
+    pub fn layout(&self) -> Layout {
+        Layout { cells: self.module.cells.max(1), width: self.module.width.max(1) }
+    }
+
     /// May these take the place of others while queries are held? Those go by the numbers of classes, tenants
     /// and zones, so these must stay as they are.
     ///
@@ -170,28 +180,30 @@
 /// # Errors
 /// The first field that is missing or makes no sense is named.
 pub fn node_list(list: &Field<'_>) -> Result<NodeList, FieldError> {
-    let mut entries = Vec::new();
-    for row in list.get("instances").entries()? {
-        let state = row.get("lifecycle");
-        entries.push(NodeEntry {
-            name: row.get("instanceId").text()?.into(),
-            address: row.get("hostPort").text()?.into(),
-            zone: row.get("zone").present().map_or(Ok(""), |f| f.text())?.into(),
-            cell: row.get("cell").present().map_or(Ok(0), |f| f.small())?,
-            weight: row.get("weight").number_or(1.0)?,
-            state: match state.text()? {
-                "Ready" => ReplicaState::Up,
-                "Terminating" => ReplicaState::Draining,
-                "Gone" => ReplicaState::Removed,
-                other => return Err(state.wrong(format!("knows no state {other:?}"))),
-            },
-            started_unix: row.get("startedAtMs").number_or(0.0)?,
-        });
-    }
+    let rows = list.get("instances").entries()?;
+    let entries = rows.iter().map(node_entry).collect::<Result<_, _>>()?;
     let complete = list.get("reset").present().map_or(Ok(false), |f| f.flag())?;
     Ok(NodeList { generation: list.get("generation").count()?, complete, entries })
 }
 
+fn node_entry(row: &Field<'_>) -> Result<NodeEntry, FieldError> {
+    let state = row.get("lifecycle");
+    Ok(NodeEntry {
+        name: row.get("instanceId").text()?.into(),
+        address: row.get("hostPort").text()?.into(),
+        zone: row.get("zone").present().map_or(Ok(""), |f| f.text())?.into(),
+        cell: row.get("cell").present().map_or(Ok(0), |f| f.small())?,
+        weight: row.get("weight").number_or(1.0)?,
+        state: match state.text()? {
+            "Ready" => NodeState::Ready,
+            "Terminating" => NodeState::Draining,
+            "Gone" => NodeState::Gone,
+            other => return Err(state.wrong(format!("knows no state {other:?}"))),
+        },
+        started_unix: row.get("startedAtMs").number_or(0.0)?,
+    })
+}
+
 /// A mixer's whole configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -213,59 +225,6 @@
     pub operator: Operator,
 }
 
-/// An operator's file, as `deploy/operator.yaml`; all of it is off where there is none.
-#[derive(Clone, Debug, Default)]
-pub struct Operator {
-    /// Where gateways pull envelope lists by Arrow Flight.
-    pub flight_listen: Option<SocketAddr>,
-    /// An inventory that takes the place of discovery.
-    pub inventory: Option<Inventory>,
-}
-
-/// An inventory as it was found at the start.
-#[derive(Clone, Debug)]
-pub struct Inventory {
-    /// Its file.
-    pub path: PathBuf,
-    /// What the file held.
-    pub text: String,
-    /// The nodes in it.
-    pub nodes: Vec<NodeEntry>,
-}
-
-impl Inventory {
-    fn read(path: PathBuf) -> Result<Self, ConfigError> {
-        let file = path.display().to_string();
-        let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
-        let nodes = crate::inventory::parse(&path, &text).map_err(|e| ConfigError::Field(file, e))?;
-        Ok(Inventory { path, text, nodes })
-    }
-}
-
-impl Operator {
-    fn read(path: &Path) -> Result<Self, ConfigError> {
-        let file = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
-        let value = crate::yaml::parse(&text).map_err(|e| ConfigError::Malformed(file.clone(), e))?;
-        let of_field = |e| ConfigError::Field(file.clone(), e);
-        let root = Field::root(&value);
-        let flight_listen = match root.get("flight").get("listen").present() {
-            None => None,
-            Some(listen) => {
-                let text = listen.text().map_err(of_field)?;
-                Some(text.parse().map_err(|_| of_field(listen.wrong("is no address and port")))?)
-            }
-        };
-        // A path beside the operator's file, unless it is absolute.
-        let beside = path.parent().unwrap_or(Path::new(""));
-        let inventory = match root.get("inventory").get("file").present() {
-            None => None,
-            Some(name) => Some(Inventory::read(beside.join(name.text().map_err(of_field)?))?),
-        };
-        Ok(Operator { flight_listen, inventory })
-    }
-}
-
 /// Why the program cannot start.
 #[derive(Debug)]
 pub enum ConfigError {
@@ -277,6 +236,8 @@
     Malformed(String, String),
     /// A field of a file.
     Field(String, FieldError),
+    /// An operator's file or an inventory, with all that is wrong.
+    Problems(Problems),
 }
 
 impl fmt::Display for ConfigError {
@@ -286,6 +247,7 @@
             Self::Unreadable(file, e) => write!(f, "{file}: {e}"),
             Self::Malformed(file, what) => write!(f, "{file}: {what}"),
             Self::Field(file, e) => write!(f, "{file}: {e}"),
+            Self::Problems(all) => write!(f, "{all}"),
         }
     }
 }
@@ -301,7 +263,7 @@
     pub fn load() -> Result<Self, ConfigError> {
         let path = env::var("RELAY_CONFIG").map_err(|_| ConfigError::Missing("RELAY_CONFIG"))?;
         let operator = match env::var("SAILMUX_OPERATOR") {
-            Ok(path) => Operator::read(Path::new(&path))?,
+            Ok(path) => Operator::load(Path::new(&path)).map_err(ConfigError::Problems)?,
             Err(_) => Operator::default(),
         };
         Ok(Config { operator, ..Self::read(Path::new(&path), |variable| env::var(variable).ok())? })
@@ -317,6 +279,53 @@
         Self::read(Path::new(&path), |_| None)
     }
 
+    /// A file read by itself, without environment and operator's file.
+    ///
+    /// # Errors
+    /// What is wrong with it, with the field.
+    pub fn at(path: &Path) -> Result<Self, ConfigError> {
+        Self::read(path, |_| None)
+    }
+
+    /// All that is wrong with a configuration file: each part of it is looked at for itself.
+    pub fn problems(path: &Path) -> Vec<ConfigError> {
+        let file = path.display().to_string();
+        let text = match fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(e) => return vec![ConfigError::Unreadable(file, e)],
+        };
+        let Ok(value) = miniserde::json::from_str::<Value>(&text) else {
+            return vec![ConfigError::Malformed(file, "is not JSON".to_owned())];
+        };
+        let root = Field::root(&value);
+        let mut found: Vec<FieldError> = Vec::new();
+        for name in ["name", "discovery"] {
+            found.extend(root.get(name).text().err());
+        }
+        let listen = root.get("listen");
+        found.extend(match listen.text().map(str::parse::<SocketAddr>) {
+            Err(e) => Some(e),
+            Ok(Err(_)) => Some(listen.wrong("is no address and port")),
+            Ok(Ok(_)) => None,
+        });
+        let seed = root.get("seed");
+        found.extend(match seed.text().map(|s| u64::from_str_radix(s, 16)) {
+            Err(e) => Some(e),
+            Ok(Err(_)) => Some(seed.wrong("is no hex number")),
+            Ok(Ok(_)) => None,
+        });
+        found.extend(root.get("limits").get("sockets").number_or(1024.0).err());
+        if let Some(known) = root.get("known").present() {
+            found.extend(known.get("generation").count().err());
+            match known.get("instances").entries() {
+                Ok(rows) => found.extend(rows.iter().filter_map(|row| node_entry(row).err())),
+                Err(e) => found.push(e),
+            }
+        }
+        found.extend(settings(&root.get("settings")).err());
+        found.into_iter().map(|e| ConfigError::Field(file.clone(), e)).collect()
+    }
+
     fn read(path: &Path, over: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let file = path.display().to_string();
         let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(file.clone(), e))?;
--- /dev/null
+++ b/src/config/operator.rs
@@ -0,0 +1,547 @@
+//! The operators' own file: closed records with defaults and bounds. A field that is unknown, of another type or
+//! out of its bounds is a problem with file, line and field; all of them are told at once.
+
+use crate::inventory::{self, Bounds, Field as NodeField, Format, Mapping, Options};
+use crate::membership::{FileList, GuardSettings};
+use crate::problem::{Problem, Problems};
+use crate::yaml::{self, Node};
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
+use serde::Serialize;
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Files of inventory at most.
+const FILES_MOST: usize = 16;
+
+/// What is read from a file is told here: a value, or what it should have been.
+pub trait Setting: Sized {
+    /// Reads a value; problems go to the reader.
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self>;
+}
+
+/// A place in a file, and the problems found so far.
+pub struct Place<'a> {
+    file: &'a str,
+    path: String,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl Place<'_> {
+    fn within(&mut self, name: &str) -> Place<'_> {
+        let path = match (self.path.as_str(), name.starts_with('[')) {
+            ("", _) => name.to_owned(),
+            (path, true) => format!("{path}{name}"),
+            (path, false) => format!("{path}.{name}"),
+        };
+        Place { file: self.file, path, problems: self.problems }
+    }
+
+    fn wrong(&mut self, line: u32, problem: impl Into<String>) {
+        self.problems.push(Problem::at(self.file, line, self.path.clone(), problem));
+    }
+}
+
+/// Records: a struct, its defaults, its reader and its schema from one text.
+macro_rules! records {
+    ($($(#[doc = $about:literal])+ $name:ident { $($(#[doc = $help:literal])+ $field:ident: $type:ty = $default:expr,)* })*) => {$(
+        $(#[doc = $about])+
+        #[derive(Clone, Debug, JsonSchema, Serialize)]
+        #[schemars(deny_unknown_fields, default)]
+        pub struct $name { $($(#[doc = $help])+ pub $field: $type,)* }
+
+        impl Default for $name {
+            fn default() -> Self {
+                $name { $($field: $default,)* }
+            }
+        }
+
+        impl $name {
+            /// The names of its fields.
+            pub const FIELDS: &[&str] = &[$(stringify!($field)),*];
+        }
+
+        impl Setting for $name {
+            fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+                let mut record = Self::default();
+                if node.is_null() {
+                    return Some(record);
+                }
+                let Some(fields) = node.map() else {
+                    at.wrong(node.line, format!("must be fields by name, not {}", node.what()));
+                    return None;
+                };
+                for field in fields {
+                    match field.name.as_str() {
+                        $(stringify!($field) => {
+                            if let Some(value) = Setting::read(&field.value, &mut at.within(stringify!($field))) {
+                                record.$field = value;
+                            }
+                        })*
+                        other => {
+                            let known = Self::FIELDS.join(", ");
+                            at.within(other).wrong(field.line, format!("is unknown; there are {known}"));
+                        }
+                    }
+                }
+                Some(record)
+            }
+        }
+    )*};
+}
+
+records! {
+    /// The operators' file.
+    OperatorFile {
+        /// Arrow Flight for gateways.
+        flight: FlightRecord = FlightRecord::default(),
+        /// Nodes by inventory files.
+        inventory: InventoryRecord = InventoryRecord::default(),
+        /// What the program writes to its standard error.
+        log: LogRecord = LogRecord::default(),
+    }
+
+    /// Arrow Flight for gateways; off unless it has an address.
+    FlightRecord {
+        /// Address and port where gateways connect, as `127.0.0.1:8815`.
+        listen: Option<Address> = None,
+    }
+
+    /// Nodes by inventory files; off unless there is one.
+    InventoryRecord {
+        /// One file or directory with all defaults, beside this file unless absolute.
+        file: Option<String> = None,
+        /// Files or directories; a later one stands over an earlier one.
+        files: Vec<FileRecord> = Vec::new(),
+        /// Discovery goes on beside the files, and stands over them; otherwise they take its place.
+        discovery: bool = false,
+        /// How changes are noticed.
+        watch: WatchRecord = WatchRecord::Auto,
+        /// Milliseconds between two looks at the files.
+        poll_ms: Count<50, 400> = Count(200),
+        /// Milliseconds for which a file must stand still before it is taken.
+        settle_ms: Count<5, 250> = Count(25),
+        /// When a list is held back.
+        guard: GuardRecord = GuardRecord::default(),
+        /// What an inventory may hold at most.
+        bounds: BoundsRecord = BoundsRecord::default(),
+    }
+
+    /// One inventory.
+    FileRecord {
+        /// File or directory, beside this file unless absolute.
+        path: String = String::new(),
+        /// How it is written.
+        format: FormatRecord = FormatRecord::Auto,
+        /// CSV's delimiter, one character; found out where it is left out.
+        delimiter: Option<String> = None,
+        /// It only adds to nodes that another source names, as a list of drains does; it may be empty.
+        partial: bool = false,
+        /// The last line of each whole file; a file without it is not taken.
+        end_marker: Option<String> = None,
+        /// A file PATH.sha256 holds each file's SHA-256; a file that differs is not taken.
+        checksum: bool = false,
+        /// Whether a file that ends within a line is held back.
+        final_newline: NewlineRecord = NewlineRecord::Required,
+        /// The column or variable for a field: name, address, port, cell, zone, state, weight, protocol, started_at_ms.
+        fields: BTreeMap<String, String> = BTreeMap::new(),
+        /// For a field, what the file's values stand for, as `state: {Active: ready, Decommissioning: draining}`.
+        values: BTreeMap<String, BTreeMap<String, String>> = BTreeMap::new(),
+        /// The value of a field that a host does not state.
+        defaults: BTreeMap<String, String> = BTreeMap::new(),
+    }
+
+    /// When a new list is held back. Drains never are.
+    GuardRecord {
+        /// Percent of the nodes that one list may lose; a single node may always go.
+        most_lost_percent: Count<0, 100> = Count(25),
+        /// Seconds after which a held list that stands unchanged is taken; left out: only a command takes it.
+        confirm_after_s: Option<Count<1, 86_400>> = None,
+    }
+
+    /// What an inventory may hold at most.
+    BoundsRecord {
+        /// Bytes of all its files.
+        bytes: Count<1024, 268_435_456> = Count(16 << 20),
+        /// Hosts, ranges written out.
+        hosts: Count<1, 1_000_000> = Count(50_000),
+        /// Groups within groups.
+        depth: Count<1, 64> = Count(32),
+        /// Values of one YAML file, aliases written out.
+        values: Count<100, 50_000_000> = Count(2_000_000),
+    }
+
+    /// What the program writes to its standard error.
+    LogRecord {
+        /// Text for readers, or a JSON object a line.
+        format: LogFormat = LogFormat::Text,
+        /// The least severity that is written.
+        level: LogLevel = LogLevel::Info,
+    }
+}
+
+/// Words that a setting may be.
+macro_rules! words {
+    ($($(#[doc = $about:literal])+ $name:ident { $($(#[doc = $help:literal])+ $variant:ident = $word:literal,)* })*) => {$(
+        $(#[doc = $about])+
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, JsonSchema, Serialize)]
+        pub enum $name { $($(#[doc = $help])+ #[serde(rename = $word)] $variant,)* }
+
+        impl Setting for $name {
+            fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+                match node.text() {
+                    $(Some($word) => Some($name::$variant),)*
+                    _ => {
+                        at.wrong(node.line, format!("must be one of {}", [$($word),*].join(", ")));
+                        None
+                    }
+                }
+            }
+        }
+    )*};
+}
+
+words! {
+    /// How changes of files are noticed.
+    WatchRecord {
+        /// By the system's notices, and by looks.
+        Auto = "auto",
+        /// By the system's notices alone.
+        Notify = "notify",
+        /// By looks alone.
+        Poll = "poll",
+    }
+
+    /// How an inventory is written.
+    FormatRecord {
+        /// By the file's name.
+        Auto = "auto",
+        /// Rows under a header.
+        Csv = "csv",
+        /// Ansible's groups.
+        Yaml = "yaml",
+    }
+
+    /// Whether a whole file ends with a line end.
+    NewlineRecord {
+        /// One that ends within a line is held back.
+        Required = "required",
+        /// It may end within a line.
+        Optional = "optional",
+    }
+
+    /// The log's form.
+    LogFormat {
+        /// For readers.
+        Text = "text",
+        /// An object a line.
+        Json = "json",
+    }
+
+    /// A severity.
+    LogLevel {
+        /// What keeps the program from its work.
+        Error = "error",
+        /// What operators should look at.
+        Warn = "warn",
+        /// Changes of state.
+        Info = "info",
+        /// What helps to find a cause.
+        Debug = "debug",
+        /// All there is.
+        Trace = "trace",
+    }
+}
+
+/// A whole number within bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Count<const LEAST: u64, const MOST: u64>(pub u64);
+
+impl<const LEAST: u64, const MOST: u64> Setting for Count<LEAST, MOST> {
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+        let number = node.text().and_then(|t| t.parse::<u64>().ok());
+        let count = number.filter(|n| (LEAST..=MOST).contains(n)).map(Count);
+        if count.is_none() {
+            at.wrong(node.line, format!("must be a whole number from {LEAST} to {MOST}"));
+        }
+        count
+    }
+}
+
+impl<const LEAST: u64, const MOST: u64> JsonSchema for Count<LEAST, MOST> {
+    fn inline_schema() -> bool {
+        true
+    }
+
+    fn schema_name() -> Cow<'static, str> {
+        format!("Count{LEAST}To{MOST}").into()
+    }
+
+    fn json_schema(_: &mut SchemaGenerator) -> Schema {
+        json_schema!({ "type": "integer", "minimum": LEAST, "maximum": MOST })
+    }
+}
+
+/// An address and a port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Address(pub SocketAddr);
+
+impl Setting for Address {
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+        let address = node.text().and_then(|t| t.parse().ok()).map(Address);
+        if address.is_none() {
+            at.wrong(node.line, "is no address and port");
+        }
+        address
+    }
+}
+
+impl JsonSchema for Address {
+    fn inline_schema() -> bool {
+        true
+    }
+
+    fn schema_name() -> Cow<'static, str> {
+        "Address".into()
+    }
+
+    fn json_schema(_: &mut SchemaGenerator) -> Schema {
+        json_schema!({ "type": "string", "pattern": ":[0-9]+$" })
+    }
+}
+
+impl Setting for String {
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+        let text = node.text().map(str::to_owned);
+        if text.is_none() {
+            at.wrong(node.line, format!("must be a text, not {}", node.what()));
+        }
+        text
+    }
+}
+
+impl Setting for bool {
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+        let flag = node.flag();
+        if flag.is_none() {
+            at.wrong(node.line, "must be true or false");
+        }
+        flag
+    }
+}
+
+impl<T: Setting> Setting for Option<T> {
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+        if node.is_null() { Some(None) } else { T::read(node, at).map(Some) }
+    }
+}
+
+impl<T: Setting> Setting for Vec<T> {
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+        let Some(entries) = node.list() else {
+            at.wrong(node.line, format!("must be a list, not {}", node.what()));
+            return None;
+        };
+        let entry = |(i, node): (usize, &std::rc::Rc<Node>)| T::read(node, &mut at.within(&format!("[{i}]")));
+        Some(entries.iter().enumerate().filter_map(entry).collect())
+    }
+}
+
+impl<T: Setting> Setting for BTreeMap<String, T> {
+    fn read(node: &Node, at: &mut Place<'_>) -> Option<Self> {
+        let Some(fields) = node.map() else {
+            at.wrong(node.line, format!("must be entries by name, not {}", node.what()));
+            return None;
+        };
+        let field = |f: &yaml::Entry| Some((f.name.clone(), T::read(&f.value, &mut at.within(&f.name))?));
+        Some(fields.iter().filter_map(field).collect())
+    }
+}
+
+/// The JSON Schema of the operators' file, for editors.
+pub fn schema() -> String {
+    let schema = schemars::schema_for!(OperatorFile);
+    format!("{:#}\n", schema.as_value())
+}
+
+/// What the operators set up beside the platform; all of it is off where there is no file.
+#[derive(Clone, Debug, Default)]
+pub struct Operator {
+    /// Where gateways pull envelope lists by Arrow Flight.
+    pub flight_listen: Option<SocketAddr>,
+    /// Inventories.
+    pub inventory: Option<Inventory>,
+    /// The log.
+    pub log: LogRecord,
+}
+
+/// Inventories and how they are watched.
+#[derive(Clone, Debug)]
+pub struct Inventory {
+    /// The files, the weakest first.
+    pub files: Vec<InventoryFile>,
+    /// Discovery goes on beside them.
+    pub discovery: bool,
+    /// How changes are noticed.
+    pub watch: WatchRecord,
+    /// Between two looks.
+    pub poll: Duration,
+    /// How long a file must stand still.
+    pub settle: Duration,
+    /// When a list is held back.
+    pub guard: GuardSettings,
+}
+
+/// One inventory, as it was found at the start.
+#[derive(Clone, Debug)]
+pub struct InventoryFile {
+    /// File or directory.
+    pub path: PathBuf,
+    /// How it is read.
+    pub options: Options,
+    /// What it held; nothing if it was not read.
+    pub list: Arc<FileList>,
+}
+
+impl Operator {
+    /// Reads an operator's file and the inventories that it names.
+    ///
+    /// # Errors
+    /// All that is wrong with any of them.
+    pub fn load(path: &Path) -> Result<Self, Problems> {
+        let mut operator = Self::read(path)?;
+        let mut problems = Vec::new();
+        for file in operator.inventory.iter_mut().flat_map(|i| &mut i.files) {
+            let read = inventory::gather(&file.path, &file.options);
+            match read.and_then(|found| inventory::read(&found.bundle, &file.options)) {
+                Ok(list) => file.list = Arc::new(list),
+                Err(found) => problems.extend(found.0),
+            }
+        }
+        if problems.is_empty() { Ok(operator) } else { Err(Problems(problems)) }
+    }
+
+    /// Reads an operator's file alone.
+    ///
+    /// # Errors
+    /// All that is wrong with it.
+    pub fn read(path: &Path) -> Result<Self, Problems> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path);
+        let text = text.map_err(|e| Problems(vec![Problem::whole(&file, e.to_string())]))?;
+        Self::parse(&file, &text)
+    }
+
+    /// Reads the text of an operator's file; its paths lie beside it.
+    ///
+    /// # Errors
+    /// All that is wrong with it.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
+        let tree = yaml::parse(text, &yaml::Bounds::default());
+        let tree = tree.map_err(|e| Problems(vec![Problem::at(file, e.line, "", e.problem)]))?;
+        let mut problems = Vec::new();
+        let mut root = Place { file, path: String::new(), problems: &mut problems };
+        let record = OperatorFile::read(&tree, &mut root).unwrap_or_default();
+        let operator = Operator {
+            flight_listen: record.flight.listen.map(|a| a.0),
+            inventory: inventory_of(&record.inventory, &tree, &mut root),
+            log: record.log,
+        };
+        if problems.is_empty() { Ok(operator) } else { Err(Problems(problems)) }
+    }
+}
+
+/// The records as the program uses them; what they say together may be wrong though each is right.
+fn inventory_of(record: &InventoryRecord, tree: &Node, root: &mut Place<'_>) -> Option<Inventory> {
+    let mut at = root.within("inventory");
+    let node = tree.get("inventory");
+    let line = node.map_or(1, |n| n.line);
+    let mut files = record.files.clone();
+    if let Some(path) = &record.file {
+        if !files.is_empty() {
+            at.within("file").wrong(line, "and files exclude each other");
+        }
+        files.push(FileRecord { path: path.clone(), ..FileRecord::default() });
+    }
+    if files.len() > FILES_MOST {
+        at.within("files").wrong(line, format!("are more than {FILES_MOST}"));
+    }
+    let bounds = Bounds {
+        bytes: record.bounds.bytes.0,
+        hosts: record.bounds.hosts.0 as usize,
+        depth: record.bounds.depth.0 as usize,
+        values: record.bounds.values.0,
+        ..Bounds::default()
+    };
+    let beside = Path::new(at.file).parent().unwrap_or(Path::new("")).to_owned();
+    let lines = node.and_then(|n| n.get("files")).and_then(|n| n.list()).unwrap_or_default();
+    let mut found = Vec::new();
+    for (i, file) in files.iter().enumerate() {
+        let node = lines.get(i);
+        let mut at = if node.is_some() { at.within(&format!("files[{i}]")) } else { at.within("file") };
+        let line_of = |name: &str| node.and_then(|n| n.get(name)).or(node).map_or(line, |n| n.line);
+        if file.path.is_empty() {
+            at.within("path").wrong(line_of("path"), "is missing");
+        }
+        let mut mapping = Mapping::default();
+        let mut of = |part: &str, name: &str| {
+            let field = NodeField::named(name);
+            if field.is_none() {
+                let known = NodeField::ALL.map(NodeField::name).join(", ");
+                at.within(part).within(name).wrong(line_of(part), format!("is no field; there are {known}"));
+            }
+            field
+        };
+        for (name, variable) in &file.fields {
+            of("fields", name).map(|f| mapping.fields.insert(f, variable.clone()));
+        }
+        for (name, values) in &file.values {
+            of("values", name).map(|f| mapping.values.insert(f, values.clone()));
+        }
+        for (name, value) in &file.defaults {
+            of("defaults", name).map(|f| mapping.defaults.insert(f, value.clone()));
+        }
+        let delimiter = match file.delimiter.as_deref().map(str::as_bytes) {
+            None => None,
+            Some([b]) if b.is_ascii() && !matches!(b, b'"' | b'\r' | b'\n') => Some(*b),
+            Some(_) => {
+                at.within("delimiter").wrong(line_of("delimiter"), "must be one character");
+                None
+            }
+        };
+        let format = match file.format {
+            FormatRecord::Auto => None,
+            FormatRecord::Csv => Some(Format::Csv),
+            FormatRecord::Yaml => Some(Format::Yaml),
+        };
+        let options = Options {
+            format,
+            delimiter,
+            mapping,
+            partial: file.partial,
+            end_marker: file.end_marker.clone(),
+            checksum: file.checksum,
+            ragged_is_whole: file.final_newline == NewlineRecord::Optional,
+            bounds,
+        };
+        found.push(InventoryFile { path: beside.join(&file.path), options, list: Arc::default() });
+    }
+    if !found.is_empty() && !record.discovery && found.iter().all(|f| f.options.partial) {
+        at.wrong(line, "names partial files alone: nothing names the nodes");
+    }
+    (!found.is_empty()).then_some(Inventory {
+        files: found,
+        discovery: record.discovery,
+        watch: record.watch,
+        poll: Duration::from_millis(record.poll_ms.0),
+        settle: Duration::from_millis(record.settle_ms.0),
+        guard: GuardSettings {
+            most_lost: record.guard.most_lost_percent.0 as f64 / 100.0,
+            confirm_after: record.guard.confirm_after_s.map(|s| s.0 as f64 * 1e3),
+        },
+    })
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::api::{LoadReport, Millis};
 use crate::config::SiteSettings;
-use crate::membership::NodeList;
+use crate::membership::{Input, NodeList, Notice};
 use bytes::Bytes;
 use std::sync::Arc;
 
@@ -128,6 +128,13 @@
         /// How far the wall clock is ahead of the core's.
         wall_ahead: Millis,
     },
+    /// What else is said about nodes: by inventory files, or by the settings.
+    Membership {
+        /// What.
+        input: Input,
+        /// How far the wall clock is ahead of the core's.
+        wall_ahead: Millis,
+    },
     /// The watch of the list has ended or has fallen silent.
     WatchLost,
     /// The configuration was read anew.
@@ -215,4 +222,6 @@
     Exit,
     /// A line for the operators.
     Log(String),
+    /// A change in who is a node, for the operators.
+    Notice(Notice),
 }
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -7,9 +7,9 @@
     ReplicaState,
 };
 use crate::config::SiteSettings;
-use crate::membership::NodeList;
+use crate::membership::{Input, NodeList, NodeState, Notice, Output};
 use bytes::Bytes;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashSet, VecDeque};
 
 /// Unwritten messages on a connection beyond which nothing new is put on it: bounds a stalled node's queue.
 const UNWRITTEN_MOST: u64 = 64;
@@ -39,6 +39,14 @@
     step.effects
 }
 
+fn replica_state(state: NodeState) -> ReplicaState {
+    match state {
+        NodeState::Ready => ReplicaState::Up,
+        NodeState::Draining => ReplicaState::Draining,
+        NodeState::Gone => ReplicaState::Removed,
+    }
+}
+
 /// One application of the reducer.
 struct Step<'a> {
     state: &'a mut State,
@@ -76,7 +84,8 @@
             }
             Event::ProbeEnded { conn, good, report } => self.probe_ended(conn, good, report),
             Event::Broken { conn, why, spoilt } => self.broken(conn, &why, spoilt),
-            Event::Nodes { list, wall_ahead } => self.nodes(list, wall_ahead),
+            Event::Nodes { list, wall_ahead } => self.membership(Input::Discovery(list), Some(wall_ahead)),
+            Event::Membership { input, wall_ahead } => self.membership(input, Some(wall_ahead)),
             Event::WatchLost => {
                 self.state.counters.watches_lost += 1;
                 self.news.push_back(api::Event::ListFailed);
@@ -657,15 +666,36 @@
 
     // ---- The list of nodes ----------------------------------------------------------------------------
 
+    fn membership(&mut self, input: Input, wall_ahead: Option<Millis>) {
+        self.state.wall_ahead = wall_ahead.unwrap_or(self.state.wall_ahead);
+        let mut outputs = Vec::new();
+        self.state.membership.handle(self.now, input, &mut outputs);
+        for output in outputs {
+            match output {
+                Output::List(list) => self.nodes(list, self.state.wall_ahead),
+                Output::Wake(at) => self.state.arm(at, Timer::Membership),
+                Output::Notice(notice) => {
+                    let counters = &mut self.state.counters;
+                    match &notice {
+                        Notice::Held { .. } => counters.lists_held += 1,
+                        Notice::Refused { .. } => counters.lists_refused += 1,
+                        Notice::Taken { confirmed: true, .. } => counters.lists_confirmed += 1,
+                        _ => {}
+                    }
+                    self.effects.push(Effect::Notice(notice));
+                }
+            }
+        }
+    }
+
     fn nodes(&mut self, list: NodeList, wall_ahead: Millis) {
         self.state.counters.lists_taken += 1;
         let mut entries = Vec::new();
-        let mut leaving = Vec::new();
+        let (mut leaving, mut moved) = (Vec::new(), Vec::new());
         if list.complete {
-            let listed = |id: &ReplicaId| {
-                list.entries.iter().any(|e| self.state.node_ids.get(&e.name).is_some_and(|known| known == id))
-            };
-            leaving.extend(self.state.nodes.keys().copied().filter(|id| !listed(id)));
+            let ids = list.entries.iter().filter_map(|e| self.state.node_ids.get(&e.name));
+            let listed: HashSet<ReplicaId> = ids.copied().collect();
+            leaving.extend(self.state.nodes.keys().copied().filter(|id| !listed.contains(id)));
             for id in &leaving {
                 if let Some(node) = self.state.nodes.get_mut(id) {
                     node.gone.get_or_insert(self.now);
@@ -680,28 +710,36 @@
             });
             let node = state.nodes.entry(replica).or_insert_with(|| Node {
                 address: e.address.clone(),
+                cell: e.cell,
                 started_unix: 0.0,
                 started: None,
                 gone: None,
             });
-            node.gone = (e.state == ReplicaState::Removed).then_some(self.now);
+            node.gone = (e.state == NodeState::Gone).then_some(self.now);
             if node.started_unix != e.started_unix {
                 node.started_unix = e.started_unix;
                 // A start that the wall clock puts in the future has been by now.
                 let started = (e.started_unix - wall_ahead).min(self.now);
                 node.started = (e.started_unix > 0.0).then_some(started);
             }
-            if node.address != e.address || e.state == ReplicaState::Removed {
+            if node.address != e.address || e.state == NodeState::Gone {
                 node.address = e.address;
                 leaving.push(replica);
             }
+            if node.cell != e.cell {
+                node.cell = e.cell;
+                moved.push(replica);
+            }
             let zone = crate::config::index_of(&state.site.zones, &e.zone);
-            let (cell, weight, state) = (e.cell, e.weight, e.state);
+            let (cell, weight, state) = (e.cell, e.weight, replica_state(e.state));
             entries.push(ReplicaEntry { replica, cell, weight, state, started_at: node.started, zone });
         }
         for node in leaving {
             self.retire(node);
         }
+        for node in moved {
+            self.recall(node);
+        }
         self.forget_nodes();
         self.news.push_back(api::Event::Replicas { complete: list.complete, entries });
     }
@@ -722,7 +760,9 @@
         self.state.counters.reloads += 1;
         // Both were checked before: neither is turned down now.
         if self.state.module.reconfigure(site.module.clone()).is_ok() {
+            let layout = site.layout();
             (self.state.site, self.state.limits) = (site, limits);
+            self.membership(Input::Layout(layout), None);
         }
     }
 
@@ -735,6 +775,16 @@
         }
     }
 
+    /// A node holds other shards now: what has not left for it yet must not, for it may hold those no more.
+    fn recall(&mut self, node: ReplicaId) {
+        let waits = |a: &Attempt| a.node == node && matches!(a.stage, Stage::Held | Stage::Placed(_));
+        let waiting = self.state.attempts.iter().filter(|(_, a)| waits(a));
+        let ids: Vec<AttemptId> = waiting.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.end(id, Outcome::ConnectFailed, None);
+        }
+    }
+
     // ---- Timers and the end ---------------------------------------------------------------------------
 
     fn timer(&mut self, timer: Timer) {
@@ -765,6 +815,7 @@
             Timer::Idle(conn) => self.arm_idle(conn),
             Timer::Probe(conn) => self.probe_timed_out(conn),
             Timer::Drain => self.drain(),
+            Timer::Membership => self.membership(Input::Tick, None),
         }
     }
 
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -4,6 +4,7 @@
 use crate::Balancer;
 use crate::api::*;
 use crate::config::SiteSettings;
+use crate::membership::{GuardSettings, Membership};
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -48,6 +49,9 @@
     pub(super) queries: BTreeMap<QueryId, Query>,
     pub(super) parts: BTreeMap<PartId, Part>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) membership: Membership,
+    /// How far the wall clock was last known to be ahead of the core's.
+    pub(super) wall_ahead: Millis,
     pub(super) nodes: BTreeMap<ReplicaId, Node>,
     pub(super) node_ids: HashMap<Arc<str>, ReplicaId>,
     pub(super) next_node: u32,
@@ -88,6 +92,7 @@
     Idle(ConnId),
     Probe(ConnId),
     Drain,
+    Membership,
 }
 
 /// A client's connection.
@@ -146,6 +151,7 @@
 
 pub(super) struct Node {
     pub address: Arc<str>,
+    pub cell: u32,
     /// As told, and on the core's clock. Converted once: a start converted anew would look like another one.
     pub started_unix: Millis,
     pub started: Option<Millis>,
@@ -232,9 +238,16 @@
     ///
     /// # Errors
     /// Settings that make no sense.
-    pub fn new(site: SiteSettings, limits: Limits, seed: u64) -> Result<Self, SettingsError> {
+    pub fn new(
+        site: SiteSettings,
+        limits: Limits,
+        seed: u64,
+        guard: GuardSettings,
+    ) -> Result<Self, SettingsError> {
         Ok(State {
             module: Balancer::new(site.module.clone(), seed)?,
+            membership: Membership::new(site.layout(), guard),
+            wall_ahead: 0.0,
             site,
             limits,
             counters: Counters::default(),
@@ -264,6 +277,11 @@
         &self.site
     }
 
+    /// Who is a node, and why.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
     /// The counters so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- /dev/null
+++ b/src/inventory/print.rs
@@ -0,0 +1,95 @@
+//! A list of nodes as text: for a reader, or in forms that [`super::read`] takes again.
+
+use crate::membership::{NodeEntry, NodeState};
+use serde_json::{Value, json};
+use std::fmt::Write;
+
+/// How a list is printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// Columns for a reader.
+    Table,
+    /// One object with `nodes`.
+    Json,
+    /// Rows under a header.
+    Csv,
+    /// Ansible's groups.
+    Yaml,
+}
+
+/// A state's word.
+pub fn word(state: NodeState) -> &'static str {
+    match state {
+        NodeState::Ready => "ready",
+        NodeState::Draining => "draining",
+        NodeState::Gone => "absent",
+    }
+}
+
+/// Prints nodes.
+pub fn print(nodes: &[NodeEntry], format: Format) -> String {
+    match format {
+        Format::Table => table(nodes),
+        Format::Json => format!("{:#}\n", json!({ "nodes": nodes.iter().map(object).collect::<Vec<_>>() })),
+        Format::Csv => csv(nodes),
+        Format::Yaml => yaml(nodes),
+    }
+}
+
+fn object(n: &NodeEntry) -> Value {
+    let mut object = json!({
+        "name": &*n.name, "address": &*n.address, "cell": n.cell, "zone": &*n.zone, "state": word(n.state),
+        "weight": n.weight,
+    });
+    // Most are running since long ago.
+    if let Some(fields) = object.as_object_mut().filter(|_| n.started_unix > 0.0) {
+        fields.insert("started_at_ms".to_owned(), json!(n.started_unix));
+    }
+    object
+}
+
+const COLUMNS: [&str; 7] = ["name", "address", "cell", "zone", "state", "weight", "started_at_ms"];
+
+fn cells(n: &NodeEntry) -> [String; 7] {
+    let started = if n.started_unix > 0.0 { n.started_unix.to_string() } else { String::new() };
+    let text = |s: &str| s.to_owned();
+    let (cell, weight) = (n.cell.to_string(), n.weight.to_string());
+    [text(&n.name), text(&n.address), cell, text(&n.zone), text(word(n.state)), weight, started]
+}
+
+fn table(nodes: &[NodeEntry]) -> String {
+    let mut rows = vec![COLUMNS.map(|c| c.to_uppercase())];
+    rows.extend(nodes.iter().map(cells));
+    let width = |column: usize| rows.iter().map(|r| r[column].chars().count()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..COLUMNS.len()).map(width).collect();
+    let mut text = String::new();
+    for row in &rows {
+        let mut line = String::new();
+        for (cell, width) in row.iter().zip(&widths) {
+            let _ = write!(line, "{cell:width$}  ");
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+fn csv(nodes: &[NodeEntry]) -> String {
+    // All is quoted: a name may begin as a comment does.
+    let mut writer = csv::WriterBuilder::new().quote_style(csv::QuoteStyle::Always).from_writer(Vec::new());
+    let mut rows = vec![COLUMNS.map(str::to_owned)];
+    rows.extend(nodes.iter().map(cells));
+    let written = rows.iter().try_for_each(|row| writer.write_record(row));
+    debug_assert!(written.is_ok(), "writing into memory");
+    String::from_utf8(writer.into_inner().unwrap_or_default()).unwrap_or_default()
+}
+
+fn yaml(nodes: &[NodeEntry]) -> String {
+    let mut text = String::from("all:\n  hosts:\n");
+    for n in nodes {
+        let mut vars = object(n);
+        vars.as_object_mut().map(|fields| fields.remove("name"));
+        let _ = writeln!(text, "    {}: {vars}", json!(&*n.name));
+    }
+    text
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,14 +41,17 @@
 //! ```
 
 pub mod api;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod core;
 pub mod inventory;
 pub mod json;
+pub mod logging;
 mod logic;
 pub mod membership;
 pub mod net;
+pub mod problem;
 mod state;
 pub mod yaml;
 
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,76 @@
+//! The log: structured events on standard error, as text or as a JSON object a line.
+
+use crate::config::operator::{LogFormat, LogLevel, LogRecord};
+use crate::membership::{Notice, SourceId};
+use std::io;
+use std::sync::Arc;
+use tracing::level_filters::LevelFilter;
+use tracing::{error, info, warn};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{Layer, fmt, registry};
+
+/// Starts the log; a second start changes nothing. Of libraries only warnings are written.
+pub fn start(record: &LogRecord) {
+    let level = match record.level {
+        LogLevel::Error => LevelFilter::ERROR,
+        LogLevel::Warn => LevelFilter::WARN,
+        LogLevel::Info => LevelFilter::INFO,
+        LogLevel::Debug => LevelFilter::DEBUG,
+        LogLevel::Trace => LevelFilter::TRACE,
+    };
+    let targets = Targets::new().with_target("sailmux", level).with_default(level.min(LevelFilter::WARN));
+    let to = fmt::layer().with_writer(io::stderr).with_target(false).with_ansi(false);
+    let started = match record.format {
+        LogFormat::Text => registry().with(to.with_filter(targets)).try_init(),
+        LogFormat::Json => registry().with(to.json().flatten_event(true).with_filter(targets)).try_init(),
+    };
+    drop(started);
+}
+
+/// Writes what membership tells the operators; `files` are the paths of the inventories, in order.
+pub fn notice(notice: &Notice, files: &[Arc<str>]) {
+    let file = |source: &SourceId| match source {
+        SourceId::File(number) => files.get(usize::from(*number)).map_or("", |f| f),
+        SourceId::Known => "known",
+        SourceId::Discovery => "discovery",
+    };
+    match notice {
+        Notice::Taken { source, digest, summary, difference: d, confirmed } => info!(
+            file = file(source),
+            digest = &**digest,
+            nodes = summary.nodes,
+            draining = summary.draining,
+            added = d.added,
+            gone = d.gone,
+            drained = d.drained,
+            readied = d.readied,
+            changed = d.changed,
+            confirmed,
+            "list taken"
+        ),
+        Notice::Held { source, digest, reason, difference: d } => warn!(
+            file = file(source),
+            digest = &**digest,
+            reason = %reason,
+            added = d.added,
+            gone = d.gone,
+            drained = d.drained,
+            readied = d.readied,
+            changed = d.changed,
+            "list held back, its drains are taken; confirm it by: sailmux inventory confirm {}",
+            file(source)
+        ),
+        Notice::Withdrawn { source } => info!(file = file(source), "held list withdrawn"),
+        Notice::Refused { source, problem } => {
+            error!(file = file(source), problem, "list refused: {problem}; the old list stands");
+        }
+        Notice::Unconfirmed { source, digest } => {
+            warn!(file = file(source), digest = &**digest, "confirmation of a list that is not held");
+        }
+        Notice::SharedAddress { address, name } => {
+            warn!(address = &**address, node = &**name, "two names for one address");
+        }
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,34 +1,34 @@
-//! Nodes and lists of them, as sources tell them.
+//! Membership: which nodes there are, by several sources, and when a new list may take effect. Sans-IO.
+//!
+//! It promises the core one list of nodes at any time, and to the operators the reason for each field of it. What
+//! discovery says takes effect at once, as the platform's rules want. What a file says passes the guard: a list
+//! that is empty, loses too much at once or ends within a line is held back, and the last good one stands until the
+//! new one is confirmed; its drains are taken all the same. It never reads a file, a socket or a clock.
 
-use crate::api::{Millis, ReplicaState};
-use std::sync::Arc;
+mod guard;
+mod history;
+mod merge;
+mod node;
+mod record;
+mod state;
 
-/// A node as discovery or an inventory lists it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct NodeEntry {
-    /// The same at every mixer, and after a restart.
-    pub name: Arc<str>,
-    /// Where it listens.
-    pub address: Arc<str>,
-    /// Its zone.
-    pub zone: Arc<str>,
-    /// Its cell, which determines its shards.
-    pub cell: u32,
-    /// Its told size.
-    pub weight: f64,
-    /// Its state.
-    pub state: ReplicaState,
-    /// Unix time of its last start; 0 for long ago.
-    pub started_unix: Millis,
-}
+pub use guard::{GuardSettings, HoldReason, Layout, Loss};
+pub use history::{Change, Difference, History, Version};
+pub use merge::{FieldName, Merged, Origin, Provenance};
+pub use node::{NodeEntry, NodeList, NodeState};
+pub use record::{FileList, NodeRecord, Place, Said, Summary, clashes};
+pub use state::{Input, Membership, Notice, Output, Plan};
+
+/// Milliseconds, on the scale of the one clock.
+pub type Millis = f64;
 
-/// A list of nodes or of changes to it.
-#[derive(Clone, Debug, Default)]
-pub struct NodeList {
-    /// Its version.
-    pub generation: u64,
-    /// Whole: what is absent is gone.
-    pub complete: bool,
-    /// Its entries.
-    pub entries: Vec<NodeEntry>,
+/// Who says something about nodes; a later one in this order stands over an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SourceId {
+    /// An inventory file, by its place in the operator's list: later files stand over earlier ones.
+    File(u16),
+    /// The list known at the start, until discovery has named the node.
+    Known,
+    /// Discovery.
+    Discovery,
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -17,6 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tracing::warn;
 
 /// An empty line comes every 2 s: two missed and a bit mean that the watch has died without a word.
 const SILENCE: Duration = Duration::from_millis(4500);
@@ -39,7 +40,7 @@
             Err(e) => e.to_string(),
         };
         if end != said {
-            eprintln!("discovery: {end}");
+            warn!("discovery: {end}");
             said = end;
         }
         if to_core.send(Input::Event(Event::WatchLost)).await.is_err() {
--- a/src/net/flight/front.rs
+++ b/src/net/flight/front.rs
@@ -28,6 +28,7 @@
 use tonic::transport::Server;
 use tonic::{Code, Request, Response, Status, Streaming};
 use tonic_types::{ErrorDetails, StatusExt};
+use tracing::warn;
 
 /// Calls of this front are numbered from here on, those of the other below it.
 const FIRST_CLIENT: u64 = 1 << 63;
@@ -63,7 +64,7 @@
     let server = Server::builder().max_concurrent_streams(CALLS_MOST).add_service(service);
     let stopped = async { drop(stopped.await) };
     if let Err(e) = server.serve_with_incoming_shutdown(incoming, stopped).await {
-        eprintln!("flight: {e}");
+        warn!("flight: {e}");
     }
 }
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tracing::warn;
 
 /// A body holds at most 64 KiB.
 const BODY_MOST: usize = 64 << 10;
@@ -62,7 +63,7 @@
                 });
             }
             Err(e) => {
-                eprintln!("accepting clients: {e}");
+                warn!("accepting clients: {e}");
                 sleep(Duration::from_millis(10)).await; // against spinning while descriptors are short
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,7 +13,8 @@
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::core::{AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, reduce};
-use crate::membership::NodeList;
+use crate::logging;
+use crate::membership;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
@@ -23,6 +24,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
+use tracing::{error, info};
+
+pub use inventory::confirmation_path;
 
 /// Events that wait for the core, at most: who brings more waits.
 const INBOX: usize = 1024;
@@ -60,6 +64,15 @@
 /// # Errors
 /// What keeps the program from starting.
 pub async fn serve(config: Config) -> io::Result<()> {
+    let listener = TcpListener::bind(config.listen).await?;
+    serve_on(listener, config).await
+}
+
+/// The same on a listener that is bound already.
+///
+/// # Errors
+/// What keeps the program from starting.
+pub async fn serve_on(listener: TcpListener, config: Config) -> io::Result<()> {
     let clock = Rc::new(Clock::system());
     // Taken before anything else: a signal without a handler would end the program.
     let mut terminate = signal(SignalKind::terminate())?;
@@ -67,34 +80,39 @@
     let mut report = signal(SignalKind::user_defined1())?;
     let mut reload = signal(SignalKind::hangup())?;
     let limits = Limits::of(config.sockets);
-    let mut state = State::new(config.site, limits, config.seed).map_err(io::Error::other)?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let inventory = config.operator.inventory;
+    let guard = inventory.as_ref().map(|i| i.guard).unwrap_or_default();
+    let mut state = State::new(config.site, limits, config.seed, guard).map_err(io::Error::other)?;
     let address = listener.local_addr()?;
     let (to_core, mut inbox) = mpsc::channel(INBOX);
     let accepting = tokio::task::spawn_local(http::accept(listener, to_core.clone(), limits));
     let generation = Rc::new(Cell::new(config.known.generation));
     let wall_ahead = clock.wall_ahead();
-    let list = match &config.operator.inventory {
-        Some(kept) => NodeList { generation: 1, complete: true, entries: kept.nodes.clone() },
-        None => config.known,
+    // Files take the place of discovery unless they are set to stand beside it.
+    let discovers = inventory.as_ref().is_none_or(|i| i.discovery);
+    let known = discovers.then_some(config.known);
+    let lists = inventory.as_ref().map(inventory::lists).unwrap_or_default();
+    let paths =
+        inventory.iter().flat_map(|i| &i.files).map(|f| f.path.display().to_string().into()).collect();
+    let mut hub = Hub {
+        to_core,
+        clients: HashMap::new(),
+        conns: HashMap::new(),
+        accepting,
+        stop_flight: None,
+        inventories: paths,
     };
-    let known = Event::Nodes { list, wall_ahead };
-    let mut hub =
-        Hub { to_core, clients: HashMap::new(), conns: HashMap::new(), accepting, stop_flight: None };
-    hub.carry_out(reduce(&mut state, clock.now(), known));
-    let mut watch = match config.operator.inventory {
-        Some(kept) => {
-            let to_core = hub.to_core.clone();
-            tokio::task::spawn_local(inventory::watch(kept.path, kept.text, to_core, clock.clone()));
-            None
-        }
-        None => Some(Watch::start(config.discovery, &generation, &hub.to_core, &clock)),
-    };
-    eprintln!("sailmux {}: serving on {address}", config.name);
+    let begin = Event::Membership { input: membership::Input::Begin { known, files: lists }, wall_ahead };
+    hub.carry_out(reduce(&mut state, clock.now(), begin));
+    if let Some(inventory) = inventory {
+        inventory::start(inventory, hub.to_core.clone(), (*clock).clone())?;
+    }
+    let mut watch = discovers.then(|| Watch::start(config.discovery, &generation, &hub.to_core, &clock));
+    info!("sailmux {}: serving on {address}", config.name);
     let (stop_flight, stopped) = oneshot::channel();
     if let Some(listen) = config.operator.flight_listen {
         let listener = TcpListener::bind(listen).await?;
-        eprintln!("sailmux {}: flight on {}", config.name, listener.local_addr()?);
+        info!("sailmux {}: flight on {}", config.name, listener.local_addr()?);
         tokio::task::spawn_local(flight::front::serve(listener, hub.to_core.clone(), limits, stopped));
         hub.stop_flight = Some(stop_flight);
     }
@@ -123,11 +141,11 @@
                     if watch.as_ref().is_some_and(|w| w.address != new.discovery) {
                         watch = Some(Watch::start(new.discovery, &generation, &hub.to_core, &clock));
                     }
-                    eprintln!("sailmux {}: the configuration was read anew", config.name);
+                    info!("sailmux {}: the configuration was read anew", config.name);
                     Event::Settings(Box::new(new.site), Limits::of(new.sockets))
                 }
                 Err(e) => {
-                    eprintln!("sailmux {}: {e}; the old settings stand", config.name);
+                    error!("sailmux {}: {e}; the old settings stand", config.name);
                     Event::SettingsRejected
                 }
             },
@@ -180,6 +198,8 @@
     conns: HashMap<ConnId, mpsc::Sender<ToNode>>,
     accepting: tokio::task::JoinHandle<()>,
     stop_flight: Option<oneshot::Sender<()>>,
+    /// The inventories' paths, for the log.
+    inventories: Vec<Arc<str>>,
 }
 
 impl Hub {
@@ -217,7 +237,8 @@
                     self.stop_flight = None;
                 }
                 Effect::Exit => return true,
-                Effect::Log(text) => eprintln!("{text}"),
+                Effect::Log(text) => info!("{text}"),
+                Effect::Notice(notice) => logging::notice(&notice, &self.inventories),
             }
         }
         false
--- a/tests/inventory.rs
+++ b/tests/inventory.rs
@@ -55,7 +55,7 @@
         ("n.yaml", "all: {hosts: {s0: {cell: 0}}}", "s0.port"),
         ("n.yaml", "all: {hosts: [s0]}", "all.hosts"),
         ("n.csv", "name,port\ns0,1\n", "s0.cell"),
-        ("n.csv", "name,port,cell\ns0,1,0\ns0,1,0\n", "row 2.name"),
+        ("n.csv", "name,port,cell\ns0,1,0\ns0,1,0\n", "n.csv:3: name"),
     ] {
         let path = scratch("inventory").join(file);
         fs::write(&path, text).expect("written");
