--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -751,8 +751,11 @@
         let stays = |gone: Option<Millis>| gone.is_none_or(|t| self.now - t < site.module.warm_after);
         let before = nodes.len();
         nodes.retain(|id, n| stays(n.gone) || conns.values().any(|c| c.node == *id));
-        counters.nodes_forgotten += (before - nodes.len()) as u64;
-        node_ids.retain(|_, id| nodes.contains_key(id));
+        let forgotten = before - nodes.len();
+        if forgotten > 0 {
+            counters.nodes_forgotten += forgotten as u64;
+            node_ids.retain(|_, id| nodes.contains_key(id));
+        }
     }
 
     /// New figures count for what comes from now on; what is held goes on as it began.
--- a/src/inventory/ansible.rs
+++ b/src/inventory/ansible.rs
@@ -18,7 +18,7 @@
 
 /// Groups at most, and hosts named in groups for each host: against files that blow up when they are linked.
 const GROUPS_MOST: usize = 4096;
-const NAMED_MOST: usize = 32;
+const NAMED_MOST: usize = 16;
 /// Sets of groups whose order is remembered.
 const ORDERS_MOST: usize = 256;
 
@@ -94,6 +94,16 @@
     orders: RefCell<HashMap<BTreeSet<String>, Rc<Vec<String>>>>,
 }
 
+/// A host's variables, the strongest layer first.
+pub(super) struct Variables<'a>(Vec<&'a Vars>);
+
+impl Variables<'_> {
+    /// A variable as it wins.
+    pub fn get(&self, name: &str) -> Option<&Var> {
+        self.0.iter().find_map(|vars| vars.get(name))
+    }
+}
+
 /// What was wrong in a tree; its file is known to the caller.
 type Found<'a> = &'a mut dyn FnMut(u32, String, String);
 
@@ -146,58 +156,41 @@
         order
     }
 
-    /// Calls with each layer of a host from the strongest to the weakest, until one call says stop.
-    fn layers(&self, name: &str, mut each: impl FnMut(Layer, &Vars) -> bool) {
-        let Some(host) = self.hosts.get(name) else { return };
+    /// The layers of a host from the strongest to the weakest.
+    fn layers(&self, name: &str) -> Vec<(Layer, &Vars)> {
+        let mut all: Vec<(Layer, &Vars)> = Vec::new();
+        let Some(host) = self.hosts.get(name) else { return all };
         let groups = self.groups_of(name);
-        let empty = Vec::new();
-        for vars in self.host_files.get(name).unwrap_or(&empty).iter().rev() {
-            if each(Layer::HostVars, vars) {
-                return;
-            }
-        }
-        for vars in host.vars.iter().rev() {
-            if each(Layer::Host, vars) {
-                return;
-            }
-        }
+        let none = || [].iter();
+        let host_files = self.host_files.get(name).map_or_else(none, |v| v.iter());
+        all.extend(host_files.rev().map(|vars| (Layer::HostVars, &**vars)));
+        all.extend(host.vars.iter().rev().map(|vars| (Layer::Host, &**vars)));
         let others = groups.iter().rev().filter(|g| *g != "all");
         for group in others.chain(groups.iter().filter(|g| *g == "all")) {
-            for vars in self.group_files.get(group).unwrap_or(&empty).iter().rev() {
-                if each(Layer::GroupVars(group.clone()), vars) {
-                    return;
-                }
-            }
+            let files = self.group_files.get(group).map_or_else(none, |v| v.iter());
+            all.extend(files.rev().map(|vars| (Layer::GroupVars(group.clone()), &**vars)));
         }
         for group in groups.iter().rev() {
-            for vars in self.groups.get(group).map_or(&empty, |g| &g.vars).iter().rev() {
-                if each(Layer::Group(group.clone()), vars) {
-                    return;
-                }
-            }
+            let own = self.groups.get(group).map_or_else(none, |g| g.vars.iter());
+            all.extend(own.rev().map(|vars| (Layer::Group(group.clone()), &**vars)));
         }
+        all
     }
 
-    /// A variable of a host, as it wins.
-    pub fn variable(&self, host: &str, name: &str) -> Option<Var> {
-        let mut found = None;
-        self.layers(host, |_, vars| {
-            found = vars.get(name).cloned();
-            found.is_some()
-        });
-        found
+    /// The variables of a host, for look-ups.
+    pub(super) fn variables(&self, host: &str) -> Variables<'_> {
+        Variables(self.layers(host).into_iter().map(|(_, vars)| vars).collect())
     }
 
     /// Every variable of a host, and why it has the value it has.
     pub fn explain(&self, host: &str) -> Vec<Explained> {
         let mut all: BTreeMap<String, Vec<(String, Layer, Place)>> = BTreeMap::new();
-        self.layers(host, |layer, vars| {
+        for (layer, vars) in self.layers(host) {
             for (name, var) in vars {
                 let text = written(&var.value, 0);
                 all.entry(name.clone()).or_default().push((text, layer.clone(), var.at));
             }
-            false
-        });
+        }
         all.into_iter().map(|(variable, values)| Explained { variable, values }).collect()
     }
 
--- a/src/inventory/mapping.rs
+++ b/src/inventory/mapping.rs
@@ -1,6 +1,6 @@
 //! From a host's variables to a node: which variable is which field, and which words stand for which value.
 
-use super::ansible::{Hosts, Var};
+use super::ansible::{Hosts, Variables};
 use crate::membership::{NodeRecord, NodeState, Place, Said};
 use std::collections::BTreeMap;
 use std::net::Ipv6Addr;
@@ -107,10 +107,12 @@
         &self,
         hosts: &Hosts,
         host: &Arc<str>,
+        names: &[Vec<String>],
         partial: bool,
     ) -> Result<Option<NodeRecord>, Vec<Wrong>> {
         let at = hosts.place(host).unwrap_or_default();
-        let mut reader = Reader { mapping: self, hosts, host, at, wrong: Vec::new() };
+        let vars = hosts.variables(host);
+        let mut reader = Reader { mapping: self, names, vars, host, at, wrong: Vec::new() };
         let record = reader.record(partial);
         if reader.wrong.is_empty() { Ok(record) } else { Err(reader.wrong) }
     }
@@ -118,7 +120,9 @@
 
 struct Reader<'a> {
     mapping: &'a Mapping,
-    hosts: &'a Hosts,
+    /// The candidates of each field, in the order of [`Field::ALL`].
+    names: &'a [Vec<String>],
+    vars: Variables<'a>,
     host: &'a Arc<str>,
     at: Place,
     wrong: Vec<Wrong>,
@@ -210,14 +214,14 @@
 
     /// A field's value by the first of its variables that is there, or its default.
     fn read<T>(&mut self, field: Field, parse: impl Fn(&str) -> Result<T, String>) -> Option<Said<T>> {
-        let names = self.mapping.candidates(field);
-        let found = names.iter().find_map(|n| Some((n, self.hosts.variable(self.host, n)?)));
+        let names = &self.names[field as usize];
+        let found = names.iter().find_map(|n| Some((n, self.vars.get(n)?)));
         let found = found.filter(|(_, var)| !var.value.is_null());
         let (text, at) = match found {
-            Some((name, Var { value, at })) => match self.plain(&value) {
-                Ok(text) => (text, at),
+            Some((name, var)) => match self.plain(&var.value) {
+                Ok(text) => (text, var.at),
                 Err(problem) => {
-                    let field = format!("{}.{name}", self.host);
+                    let (at, field) = (var.at, format!("{}.{name}", self.host));
                     self.wrong.push(Wrong { at, field, problem });
                     return None;
                 }
@@ -265,7 +269,10 @@
     }
 
     fn has_wrong(&self, field: Field) -> bool {
-        let names = self.mapping.candidates(field);
+        if self.wrong.is_empty() {
+            return false;
+        }
+        let names = &self.names[field as usize];
         let own = format!("{}.{}", self.host, field.name());
         self.wrong.iter().any(|w| {
             w.field == own
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -222,8 +222,9 @@
     let files: Vec<Arc<str>> = bundle.files.iter().map(|f| f.name.clone()).collect();
     let named = |at: Place| files.get(usize::from(at.file)).map_or("", |f| &**f);
     let mut records: Vec<NodeRecord> = Vec::new();
+    let candidates: Vec<Vec<String>> = Field::ALL.iter().map(|f| options.mapping.candidates(*f)).collect();
     for host in hosts.names() {
-        match options.mapping.record(hosts, &host, options.partial) {
+        match options.mapping.record(hosts, &host, &candidates, options.partial) {
             Ok(record) => records.extend(record),
             Err(found) => {
                 let found = found.into_iter();
--- a/src/inventory/table.rs
+++ b/src/inventory/table.rs
@@ -56,7 +56,8 @@
         let at = Place { file: number, line };
         let cells = names.iter().zip(row.iter()).filter(|(_, cell)| !cell.is_empty());
         let value = |text: &str| {
-            let kind = Kind::Scalar(text.to_owned(), true);
+            // A cell is text, also where YAML would read `null`.
+            let kind = Kind::Scalar(text.to_owned(), false);
             Rc::new(Node { line, tag: String::new(), size: 1, kind })
         };
         let vars: Vec<(String, Rc<Node>)> = cells.map(|(name, cell)| (name.clone(), value(cell))).collect();
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -7,6 +7,7 @@
 
 mod guard;
 mod history;
+mod looks;
 mod merge;
 mod node;
 mod record;
@@ -14,6 +15,7 @@
 
 pub use guard::{GuardSettings, HoldReason, Layout, Loss};
 pub use history::{Change, Difference, History, Version};
+pub use looks::{Looks, Opened, Verdict};
 pub use merge::{FieldName, Merged, Origin, Provenance};
 pub use node::{NodeEntry, NodeList, NodeState};
 pub use record::{FileList, NodeRecord, Place, Said, Summary, clashes};
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -104,6 +104,8 @@
 /// What taking a list would do.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// Names that may be another way, for themselves or for a drain.
+    touched: BTreeSet<Arc<str>>,
     /// By name.
     pub changes: BTreeMap<Arc<str>, Change>,
     /// In counts.
@@ -196,11 +198,11 @@
         let (mut before, mut after) = (self.holders.clone(), self.holders.clone());
         let mut changes = BTreeMap::new();
         let mut loss = Loss { before: self.effective.len(), after: self.effective.len(), lost: 0 };
-        for name in names {
-            let now = self.effective.get(&name);
-            let next = self.merged(&name, Some((number, Some(list), None)));
+        for name in &names {
+            let now = self.effective.get(name);
+            let next = self.merged(name, Some((number, Some(list), None)));
             let taken = self.files.get(usize::from(number)).map(|f| &*f.taken);
-            let drained = self.merged(&name, Some((number, taken, Some(list))));
+            let drained = self.merged(name, Some((number, taken, Some(list))));
             if let Some(now) = now {
                 before.remove(&now.entry);
                 after.remove(&now.entry);
@@ -215,14 +217,15 @@
             loss.after = loss.after + usize::from(next.is_some()) - usize::from(now.is_some());
             let change = Change { before: now.map(|m| m.entry.clone()), after: next.map(|m| m.entry) };
             if change.before != change.after {
-                changes.insert(name, change);
+                changes.insert(name.clone(), change);
             }
         }
         let named = list.partial || !list.records.is_empty();
         let judged = judge(&self.guard, self.layout, loss, named, (&before, &after));
         let ragged = (list.ragged && !changes.is_empty()).then_some(HoldReason::Ragged);
         let holders = (0..self.layout.cells).map(|s| after.of_shard(self.layout, s)).collect();
-        Plan { difference: Difference::of(changes.values()), changes, hold: judged.or(ragged), loss, holders }
+        let difference = Difference::of(changes.values());
+        Plan { touched: names, difference, changes, hold: judged.or(ragged), loss, holders }
     }
 
     fn begin(
@@ -310,12 +313,11 @@
         }
         let plan = self.plan(number, &list);
         match plan.hold {
-            None => self.take(now, number, list, plan.difference, false, out),
+            None => self.take(now, number, list, plan, false, out),
             Some(reason) => {
                 let (digest, difference) = (list.digest.clone(), plan.difference);
-                let names = self.touched(number, &list);
                 self.files[usize::from(number)].held = Some((list, now));
-                self.spread(now, source, names, out);
+                self.spread(now, source, plan.touched, out);
                 out.push(Output::Notice(Notice::Held { source, digest, reason, difference }));
                 if let Some(after) = self.guard.confirm_after {
                     out.push(Output::Wake(now + after));
@@ -337,15 +339,15 @@
         now: Millis,
         number: u16,
         list: Arc<FileList>,
-        difference: Difference,
+        plan: Plan,
         confirmed: bool,
         out: &mut Vec<Output>,
     ) {
         let (digest, summary) = (list.digest.clone(), list.summary());
-        let names = self.touched(number, &list);
         self.files[usize::from(number)] = File { taken: list, held: None };
         let source = SourceId::File(number);
-        self.spread(now, source, names, out);
+        self.spread(now, source, plan.touched, out);
+        let difference = plan.difference;
         out.push(Output::Notice(Notice::Taken { source, digest, summary, difference, confirmed }));
     }
 
@@ -353,8 +355,8 @@
         let held = self.files.get(usize::from(number)).and_then(|f| f.held.as_ref());
         match held.filter(|(list, _)| list.digest == digest).map(|(list, _)| list.clone()) {
             Some(list) => {
-                let difference = self.plan(number, &list).difference;
-                self.take(now, number, list, difference, true, out);
+                let plan = self.plan(number, &list);
+                self.take(now, number, list, plan, true, out);
             }
             None => {
                 let source = SourceId::File(number);
--- a/src/net/inventory.rs
+++ b/src/net/inventory.rs
@@ -6,26 +6,20 @@
 use crate::config::operator::{Inventory, InventoryFile, WatchRecord};
 use crate::core::Event;
 use crate::inventory::{Gathered, Seen, digest, gather, read, signature};
-use crate::membership::{self, FileList};
+use crate::membership::{self, FileList, Looks, Opened, Verdict};
 use crate::problem::Problems;
 use notify::{RecommendedWatcher, RecursiveMode, Watcher};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tracing::{debug, info, warn};
 
-/// A file that is gone, or cannot be read, is told of after so long: tools that replace it leave none for a moment.
-const ABSENT: Duration = Duration::from_millis(500);
-/// Problems of one file are told at most that often: against a storm of broken files.
-const PROBLEMS_EVERY: Duration = Duration::from_secs(1);
-/// A file whose stamp is younger than that is read again: two writes may share one grain of its time.
-const YOUNG: Duration = Duration::from_millis(40);
-/// A confirmation waits so long for the list that it names.
-const CONFIRMATION: Duration = Duration::from_secs(5);
+/// Lists kept for a while after another has been told: the one in force, a held one, and the newest.
+const KEPT: usize = 3;
 /// With the system's notices alone, the thread still looks whether the program is there.
 const ALONE: Duration = Duration::from_secs(3600);
 
@@ -35,36 +29,21 @@
 struct Watched {
     number: u16,
     file: InventoryFile,
-    /// What the last look found that led to a list or a problem.
-    seen: Option<Signature>,
-    /// The content last told to the core.
-    told: Arc<str>,
-    /// It may have changed within the grain of its time.
-    again: Option<Instant>,
-    absent: Option<Instant>,
-    problem: String,
-    problem_at: Option<Instant>,
-    confirmation: Option<(String, Instant)>,
+    looks: Looks<Signature>,
+    /// The last lists: the core lets go of one before this thread does, which then frees what may be large.
+    kept: VecDeque<Arc<FileList>>,
 }
 
 /// Starts the thread; it ends with the core.
 pub(crate) fn start(inventory: Inventory, to_core: ToCore, clock: Clock) -> std::io::Result<()> {
-    let mut watch = Watch { to_core, clock, settle: inventory.settle, watched: Vec::new() };
-    for (number, file) in inventory.files.into_iter().enumerate() {
-        let told = file.list.digest.clone();
-        let number = number as u16;
-        watch.watched.push(Watched {
-            number,
-            file,
-            seen: None,
-            told,
-            again: None,
-            absent: None,
-            problem: String::new(),
-            problem_at: None,
-            confirmation: None,
-        });
-    }
+    let watched = |(number, file): (usize, InventoryFile)| Watched {
+        number: number as u16,
+        looks: Looks::new(file.list.digest.clone()),
+        kept: VecDeque::from([file.list.clone()]),
+        file,
+    };
+    let watched = inventory.files.into_iter().enumerate().map(watched).collect();
+    let watch = Watch { to_core, clock, settle: inventory.settle, watched };
     let (mode, poll) = (inventory.watch, inventory.poll);
     thread::Builder::new().name("inventory".to_owned()).spawn(move || watch.run(mode, poll)).map(drop)
 }
@@ -92,6 +71,8 @@
                 made.map_err(|e| warn!(problem = %e, "no notices of changed files; they are looked at")).ok()
             }
         };
+        let alone = mode == WatchRecord::Notify && notifier.is_some();
+        let idle = if alone { ALONE } else { poll }.as_secs_f64() * 1e3;
         let mut places = BTreeSet::new();
         loop {
             if let Some(notifier) = &mut notifier {
@@ -100,14 +81,12 @@
             match self.look() {
                 Ok(true) => {}
                 Ok(false) => {
-                    let idle = if mode == WatchRecord::Notify && notifier.is_some() { ALONE } else { poll };
-                    let soon = self.watched.iter().any(|w| w.again.is_some() || w.absent.is_some());
-                    let pending = self.watched.iter().any(|w| w.confirmation.is_some());
-                    let wait = if soon || pending { idle.min(YOUNG) } else { idle };
+                    let rest = self.watched.iter().map(|w| w.looks.rest(idle)).fold(idle, f64::min);
+                    let rest = Duration::from_secs_f64(rest / 1e3);
                     if notifier.is_some() {
-                        heard_within(&heard, wait);
+                        heard_within(&heard, rest);
                     } else {
-                        thread::sleep(wait);
+                        thread::sleep(rest);
                     }
                 }
                 Err(Ended) => return,
@@ -142,104 +121,85 @@
 
     /// Looks at all files once; true if one is not settled yet, so that the next look comes at once.
     fn look(&mut self) -> Result<bool, Ended> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut opened: Vec<(usize, Signature, Result<Gathered, Problems>)> = Vec::new();
         for (i, watched) in self.watched.iter_mut().enumerate() {
-            watched.note_confirmation(now);
-            let signature = signature(&watched.file.path);
-            let young = watched.again.is_some_and(|at| at <= now);
-            if watched.seen.as_ref() != Some(&signature) || young || watched.absent.is_some() {
-                watched.again = None;
-                let gathered = gather(&watched.file.path, &watched.file.options);
-                opened.push((i, signature, gathered));
+            let confirmation = fs::read_to_string(confirmation_path(&watched.file.path));
+            if let Some(named) = confirmation.as_deref().unwrap_or_default().split_whitespace().next() {
+                watched.looks.confirmation(now, named);
+            }
+            let found = signature(&watched.file.path);
+            if watched.looks.must_open(now, &found) {
+                opened.push((i, found, gather(&watched.file.path, &watched.file.options)));
             }
         }
         if !opened.is_empty() {
             thread::sleep(self.settle);
         }
         let mut unsettled = false;
-        for (i, signature, gathered) in opened {
-            unsettled |= self.take(i, signature, gathered)?;
+        for (i, found, gathered) in opened {
+            unsettled |= self.opened(i, found, gathered)?;
         }
-        self.confirm(now)?;
+        self.confirm()?;
         Ok(unsettled)
     }
 
-    /// Takes what was opened, if it has stood still; true if it has not.
-    fn take(
+    /// Carries out what follows from files that were opened; true if they are to be opened again at once.
+    fn opened(
         &mut self,
         i: usize,
-        signature: Signature,
+        found: Signature,
         gathered: Result<Gathered, Problems>,
     ) -> Result<bool, Ended> {
         let watched = &mut self.watched[i];
-        let mut gathered = match gathered {
-            Ok(gathered) => gathered,
-            Err(problems) => {
-                let since = *watched.absent.get_or_insert_with(Instant::now);
-                if since.elapsed() >= ABSENT {
-                    watched.seen = Some(signature);
-                    // Told once; it is looked at again when its signature is another one.
-                    watched.absent = None;
-                    return self.refuse(i, &problems).map(|()| false);
+        let (opened, bundle) = match gathered {
+            Err(problems) => (Opened::Unreadable(brief(&problems)), None),
+            Ok(mut gathered) => {
+                let still = gathered.stood_still();
+                let young = gathered.is_young(Duration::from_secs_f64(Looks::<Signature>::grain() / 1e3));
+                match still {
+                    true => {
+                        (Opened::Still { digest: digest(&gathered.bundle), young }, Some(gathered.bundle))
+                    }
+                    false => (Opened::Moving, None),
                 }
-                return Ok(false);
             }
         };
-        watched.absent = None;
-        if !gathered.stood_still() {
-            debug!(file = %watched.file.path.display(), "file not whole yet");
-            return Ok(true);
-        }
-        watched.seen = Some(signature);
-        watched.again = Some(Instant::now() + YOUNG).filter(|_| gathered.is_young(YOUNG * 2));
-        let name = digest(&gathered.bundle);
-        if name == watched.told {
-            watched.problem.clear();
-            return Ok(false);
+        let mut verdict = watched.looks.opened(self.clock.now(), found, opened);
+        if let (Verdict::Read, Some(bundle)) = (&verdict, bundle) {
+            match read(&bundle, &watched.file.options) {
+                Ok(list) => {
+                    let list = Arc::new(list);
+                    watched.looks.read(list.digest.clone());
+                    watched.kept.push_back(list.clone());
+                    if watched.kept.len() > KEPT {
+                        watched.kept.pop_front();
+                    }
+                    let number = watched.number;
+                    return self.tell(membership::Input::File(number, list)).map(|()| false);
+                }
+                Err(problems) => verdict = watched.looks.refused(self.clock.now(), brief(&problems)),
+            }
         }
-        match read(&gathered.bundle, &watched.file.options) {
-            Ok(list) => {
-                watched.told = name;
-                watched.problem.clear();
+        match verdict {
+            Verdict::Again => debug!(file = %watched.file.path.display(), "file not whole yet"),
+            Verdict::Refuse(problem) => {
                 let number = watched.number;
-                self.tell(membership::Input::File(number, Arc::new(list))).map(|()| false)
+                self.tell(membership::Input::Refused(number, problem))?;
+                return Ok(false);
             }
-            Err(problems) => self.refuse(i, &problems).map(|()| false),
-        }
-    }
-
-    fn refuse(&mut self, i: usize, problems: &Problems) -> Result<(), Ended> {
-        let watched = &mut self.watched[i];
-        // A list that comes back after a broken file is told again, so that a held one may be withdrawn.
-        watched.told = "".into();
-        let first = problems.0.first().map(ToString::to_string).unwrap_or_default();
-        let text = match problems.0.len() {
-            0 | 1 => first,
-            more => format!("{first} (and {} more)", more - 1),
-        };
-        let told = watched.problem_at.is_some_and(|at| at.elapsed() < PROBLEMS_EVERY);
-        if text == watched.problem || told {
-            return Ok(());
+            Verdict::Nothing | Verdict::Read => return Ok(false),
         }
-        watched.problem.clone_from(&text);
-        watched.problem_at = Some(Instant::now());
-        let number = watched.number;
-        self.tell(membership::Input::Refused(number, text))
+        Ok(true)
     }
 
-    /// Passes on confirmations once the list they name has been told, or has not come for a while.
-    fn confirm(&mut self, now: Instant) -> Result<(), Ended> {
+    /// Passes on confirmations that are due.
+    fn confirm(&mut self) -> Result<(), Ended> {
         for i in 0..self.watched.len() {
             let watched = &mut self.watched[i];
-            let Some((named, since)) = &watched.confirmation else { continue };
-            if **named != *watched.told && now.duration_since(*since) < CONFIRMATION {
-                continue;
-            }
-            let (number, named) = (watched.number, Arc::<str>::from(named.as_str()));
-            let path = confirmation_path(&watched.file.path);
-            watched.confirmation = None;
-            // Done with, even where it cannot be removed: then it is passed on again, which changes nothing.
+            let Some(named) = watched.looks.confirmed(self.clock.now()) else { continue };
+            let (number, path) = (watched.number, confirmation_path(&watched.file.path));
+            // Where it cannot be removed it is passed on again, which changes nothing.
             if let Err(e) = fs::remove_file(&path) {
                 warn!(file = %path.display(), problem = %e, "confirmation cannot be removed");
             }
@@ -255,14 +215,12 @@
     }
 }
 
-impl Watched {
-    fn note_confirmation(&mut self, now: Instant) {
-        if self.confirmation.is_none()
-            && let Ok(text) = fs::read_to_string(confirmation_path(&self.file.path))
-            && let Some(named) = text.split_whitespace().next()
-        {
-            self.confirmation = Some((named.to_owned(), now));
-        }
+/// The first problem, and how many more there are.
+fn brief(problems: &Problems) -> String {
+    let first = problems.0.first().map(ToString::to_string).unwrap_or_default();
+    match problems.0.len() {
+        0 | 1 => first,
+        more => format!("{first} (and {} more)", more - 1),
     }
 }
 
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,231 @@
+//! The command line: what it prints, and its exit codes.
+
+mod common;
+
+use common::process::{Setup, binary, scratch};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn sailmux(args: &[&str]) -> Output {
+    let mut command = Command::new(binary());
+    for told in ["RELAY_CONFIG", "SAILMUX_OPERATOR"] {
+        command.env_remove(told);
+    }
+    command.args(args).output().expect("it runs")
+}
+
+/// Exit code, standard output and standard error.
+fn run(args: &[&str]) -> (i32, String, String) {
+    let out = sailmux(args);
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (out.status.code().expect("a code"), text(out.stdout), text(out.stderr))
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = scratch("cli").join(name);
+    fs::write(&path, text).expect("written");
+    path
+}
+
+fn str(path: &Path) -> &str {
+    path.to_str().expect("text")
+}
+
+const SIX: &str =
+    "name,host,port,cell,state\na0,h,1,0,\nb0,h,2,0,\na1,h,3,1,\nb1,h,4,1,\na2,h,5,2,\nb2,h,6,2,\n";
+
+#[test]
+fn misuse_is_told_with_2_and_problems_with_1() {
+    assert_eq!(run(&["--nonsense"]).0, 2);
+    assert_eq!(run(&["inventory", "show"]).0, 2);
+    assert_eq!(run(&["inventory", "check", "/nowhere/n.csv"]).0, 1);
+    let (code, _, words) = run(&["run"]);
+    assert!(code == 1 && words.contains("RELAY_CONFIG"), "{words}");
+    assert_eq!(run(&["--help"]).0, 0);
+    assert_eq!(run(&["check"]).0, 1);
+}
+
+#[test]
+fn an_inventory_is_checked_shown_and_compared() {
+    let six = file("n.csv", SIX);
+    let (code, words, _) = run(&["inventory", "check", str(&six)]);
+    assert!(code == 0 && words.contains("good, 6 nodes, 0 draining"), "{words}");
+    let (code, _, words) = run(&["inventory", "check", str(&six), "--cells", "2"]);
+    assert!(
+        code == 1 && words.contains("n.csv:6: a2.cell: 2 is not below 2") && words.contains("b2.cell"),
+        "{words}"
+    );
+    for (text, wanted) in [
+        ("name,host,port,cell\n", "names no node"),
+        ("name,host,port,cell\na,h,1,0\nb,h,1,0\n", "n.csv:3: b.address: h:1 is the address of a too"),
+        ("name,host,port,cell\na,h,70000,0\n", "n.csv:2: a.port"),
+        ("name,host,port,cell\na,h,1,-3\n", "n.csv:2: a.cell"),
+    ] {
+        let (code, _, words) = run(&["inventory", "check", str(&file("n.csv", text))]);
+        assert!(code == 1 && words.contains(wanted), "{words}");
+    }
+    let (_, words, _) = run(&["inventory", "show", str(&six), "--format", "json"]);
+    let object: serde_json::Value = serde_json::from_str(&words).expect("JSON");
+    let first = &object["nodes"][0];
+    assert_eq!((&first["name"], &first["address"], &first["cell"]), (&"a0".into(), &"h:1".into(), &0.into()));
+    assert_eq!(
+        (&first["state"], &first["weight"], &first["zone"]),
+        (&"ready".into(), &1.0.into(), &"".into())
+    );
+    for format in ["csv", "yaml", "json"] {
+        let (_, words, _) = run(&["inventory", "show", str(&six), "--format", format]);
+        let again = file(&format!("again.{format}"), &words);
+        let (code, words, _) = run(&["inventory", "diff", str(&six), str(&again)]);
+        assert_eq!((code, words.as_str()), (0, "0 added, 0 gone, 0 drained, 0 readied, 0 changed\n"));
+    }
+    let (_, table, _) = run(&["inventory", "show", str(&six)]);
+    assert!(table.starts_with("NAME  ADDRESS  CELL") && table.lines().count() == 7, "{table}");
+    let other = file("m.csv", &SIX.replace("a0,h,1,0,", "a0,h,1,0,draining").replace("b1,h,4", "c1,h,7"));
+    let (_, words, _) = run(&["inventory", "diff", str(&six), str(&other)]);
+    for wanted in
+        ["drained  a0", "gone     b1  h:4, cell 1", "added    c1  h:7, cell 1", "1 added, 1 gone, 1 drained"]
+    {
+        assert!(words.contains(wanted), "{words}");
+    }
+}
+
+#[test]
+fn a_plan_says_what_would_be_done_and_what_would_be_held() {
+    let six = file("n.csv", SIX);
+    let same = |text: &str| file("next.csv", text);
+    let plan = |next: &Path, more: &[&str]| {
+        run(&[&["inventory", "plan", str(next), "--current", str(&six), "--cells", "3"], more].concat())
+    };
+    let (code, words, _) = plan(&same(&SIX.replace("a0,h,1,0,", "a0,h,1,0,draining")), &[]);
+    assert!(
+        code == 0 && words.contains("taken at once") && words.contains("shard 0 (of each 3): 1 nodes"),
+        "{words}"
+    );
+    let (code, words, _) = plan(&same(&SIX.replace("a2,h,5,2,\nb2,h,6,2,\n", "a2,h,5,2,\n")), &[]);
+    assert!(code == 0 && words.contains("nodes: 6 -> 5"), "{words}");
+    let short = same(&SIX.replace("a2,h,5,2,\nb2,h,6,2,\n", ""));
+    let (code, words, _) = plan(&short, &[]);
+    assert!(code == 1 && words.contains("held back: 2 of 6 nodes would be lost at once"), "{words}");
+    let (code, words, _) = plan(&short, &["--most-lost", "50"]);
+    assert!(code == 1 && words.contains("held back: shard 2 would be left without a node"), "{words}");
+}
+
+#[test]
+fn a_hosts_variables_are_explained_with_their_places() {
+    let path =
+        file("n.yaml", "all:\n  vars: {zone: far}\n  hosts:\n    s0: {port: 1, cell: 0, zone: near}\n");
+    let (code, words, _) = run(&["inventory", "explain", str(&path), "s0"]);
+    assert_eq!(code, 0);
+    assert!(words.contains("zone = near\n") && words.contains("n.yaml:4 (host) stands over\n"), "{words}");
+    assert!(words.contains("n.yaml:2 (group all): far\n"), "{words}");
+    assert_eq!(run(&["inventory", "explain", str(&path), "s1"]).0, 1);
+}
+
+#[test]
+fn check_tells_every_problem_of_every_file_at_once() {
+    let dir = scratch("check");
+    let config = Setup::new(&[])
+        .config()
+        .replace("8c1f30d27a5be964", "no hex")
+        .replace("\"127.0.0.1:0\"", "\"nowhere\"");
+    fs::write(dir.join("config.json"), config).expect("written");
+    fs::write(dir.join("n.csv"), "name,host,port,cell\na,h,0,0\nb,h,2,x\n").expect("written");
+    let operator = "flight:\n  listen: here\nlog: {level: loud, colour: true}\ninventory:\n  poll_ms: 5\n  files:\n    - path: n.csv\n      fields: {adress: X}\n      delimiter: ';;'\n";
+    fs::write(dir.join("bad.yaml"), operator).expect("written");
+    fs::write(dir.join("good.yaml"), "inventory: {file: n.csv}\n").expect("written");
+    let path = |name: &str| dir.join(name).to_str().expect("text").to_owned();
+    let (code, _, words) = run(&["check", "--config", &path("config.json"), "--operator", &path("bad.yaml")]);
+    assert_eq!(code, 1);
+    for wanted in [
+        "config.json: field listen: is no address and port",
+        "config.json: field seed: is no hex number",
+        "bad.yaml:2: flight.listen: is no address and port",
+        "bad.yaml:3: log.level: must be one of error, warn",
+        "bad.yaml:3: log.colour: is unknown; there are format, level",
+        "bad.yaml:5: inventory.poll_ms: must be a whole number from 50 to 400",
+        "bad.yaml:8: inventory.files[0].fields.adress: is no field; there are name, address",
+        "bad.yaml:9: inventory.files[0].delimiter: must be one character",
+    ] {
+        assert!(words.contains(wanted), "{wanted}:\n{words}");
+    }
+    let (code, _, words) = run(&["check", "--operator", &path("good.yaml")]);
+    assert!(code == 1 && words.contains("n.csv:2: a.port") && words.contains("n.csv:3: b.cell"), "{words}");
+    fs::write(dir.join("n.csv"), SIX).expect("written");
+    let (code, words, _) = run(&["check", "--operator", &path("good.yaml")]);
+    assert!(code == 0 && words.contains("n.csv: good"), "{words}");
+    // A field that is unknown stops the start.
+    let out = Command::new(binary())
+        .env("RELAY_CONFIG", path("config.json"))
+        .env("SAILMUX_OPERATOR", path("bad.yaml"))
+        .output()
+        .expect("it runs");
+    let words = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(out.status.code() == Some(1) && words.contains("bad.yaml:3: log.colour"), "{words}");
+}
+
+#[test]
+fn the_schema_knows_the_fields_that_the_reader_knows() {
+    use sailmux::config::operator::*;
+    let (code, words, _) = run(&["config", "schema"]);
+    assert_eq!(code, 0);
+    let schema: serde_json::Value = serde_json::from_str(&words).expect("JSON");
+    let of = |name: &str| match name {
+        "OperatorFile" => &schema,
+        name => &schema["$defs"][name],
+    };
+    for (name, fields) in [
+        ("OperatorFile", OperatorFile::FIELDS),
+        ("InventoryRecord", InventoryRecord::FIELDS),
+        ("FileRecord", FileRecord::FIELDS),
+        ("GuardRecord", GuardRecord::FIELDS),
+        ("BoundsRecord", BoundsRecord::FIELDS),
+        ("LogRecord", LogRecord::FIELDS),
+    ] {
+        let mut wanted: Vec<&str> = fields.to_vec();
+        let mut found: Vec<&str> =
+            of(name)["properties"].as_object().expect(name).keys().map(String::as_str).collect();
+        wanted.sort_unstable();
+        found.sort_unstable();
+        assert_eq!(found, wanted, "{name}");
+        assert_eq!(of(name)["additionalProperties"], false, "{name}");
+    }
+    let poll = &of("InventoryRecord")["properties"]["poll_ms"];
+    assert_eq!(
+        (&poll["minimum"], &poll["maximum"], &poll["default"]),
+        (&50.into(), &400.into(), &200.into())
+    );
+}
+
+#[test]
+fn the_demo_asks_a_query_and_shows_its_answer() {
+    let (code, words, _) = run(&["demo", "--once"]);
+    assert!(code == 0 && words.contains(r#""total":true"#) && words.contains("answers_whole 1"), "{words}");
+    assert_eq!(run(&["demo", "--once", "--listen", "0.0.0.0:0"]).0, 1);
+}
+
+#[test]
+fn completions_and_a_man_page_are_printed() {
+    for shell in ["bash", "zsh", "fish"] {
+        assert!(run(&["completions", shell]).1.contains("inventory"), "{shell}");
+    }
+    let (_, page, _) = run(&["man"]);
+    assert!(page.contains(".TH sailmux") && page.contains("confirm"), "{page}");
+}
+
+#[test]
+fn the_log_can_be_json_and_its_level_set() {
+    let dir = scratch("log");
+    fs::write(dir.join("n.csv"), SIX).expect("written");
+    let operator = format!("log: {{format: json}}\ninventory: {{file: {}}}\n", dir.join("n.csv").display());
+    let mut mixer = Setup { operator: Some(operator), ..Setup::new(&[]) };
+    mixer.max_attempts = 2;
+    let mut child = common::process::spawn(&mixer.config(), mixer.operator.as_deref());
+    use std::io::{BufRead, BufReader};
+    let lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    let taken = lines.take(8).find(|l| l.contains("list taken")).expect("an event");
+    let event: serde_json::Value = serde_json::from_str(&taken).expect("JSON");
+    assert_eq!((&event["nodes"], &event["level"]), (&6.into(), &"INFO".into()));
+    child.kill().expect("it ran");
+    child.wait().expect("it ended");
+}
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -18,7 +18,7 @@
 pub fn scratch(name: &str) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let unique = format!("{name}-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(unique);
+    let dir = option_env!("CARGO_TARGET_TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from).join(unique);
     std::fs::create_dir_all(&dir).expect("a folder can be made");
     dir
 }
@@ -120,6 +120,12 @@
     seen: Vec<String>,
 }
 
+/// The program; an example finds it beside its own folder.
+pub fn binary() -> PathBuf {
+    let beside = || std::env::current_exe().expect("a path").with_file_name("../sailmux");
+    option_env!("CARGO_BIN_EXE_sailmux").map_or_else(beside, PathBuf::from)
+}
+
 /// Starts the program with a configuration, and an operator's file if there is one.
 pub fn spawn(config: &str, operator: Option<&str>) -> Child {
     spawn_in(&scratch("mixer"), config, operator)
@@ -128,7 +134,7 @@
 fn spawn_in(dir: &Path, config: &str, operator: Option<&str>) -> Child {
     let path = dir.join("config.json");
     std::fs::write(&path, config).expect("written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sailmux"));
+    let mut command = Command::new(binary());
     command.env("RELAY_CONFIG", &path).stderr(Stdio::piped());
     for told in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "SAILMUX_OPERATOR"] {
         command.env_remove(told);
@@ -172,6 +178,31 @@
         }
     }
 
+    /// Waits for a line that comes from now on, past all that has been waited for before.
+    pub fn told_anew(&mut self, words: &str) -> String {
+        self.told_either(words, words)
+    }
+
+    /// The same for a line with either words.
+    pub fn told_either(&mut self, words: &str, others: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            let line = self.lines.recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|_| panic!("the log never said {words:?} anew: {:#?}", self.seen));
+            self.seen.push(line.clone());
+            if line.contains(words) || line.contains(others) {
+                return line;
+            }
+        }
+        panic!("the log never said {words:?} anew: {:#?}", self.seen)
+    }
+
+    /// The lines that have been read so far, those that wait included.
+    pub fn log(&mut self) -> &[String] {
+        self.seen.extend(self.lines.try_iter());
+        &self.seen
+    }
+
     /// Where the mixer serves Flight.
     pub fn flight(&mut self) -> String {
         self.told("flight on ")
