--- /dev/null
+++ b/examples/ledger_cost.rs
@@ -0,0 +1,147 @@
+//! What the ledger costs: an entry in the event loop, a record on disk, a start after a kill with a million entries, and
+//! the time to an answer with the ledger off, in group mode and in strict mode.
+//! `cargo run --release --example ledger_cost -- [ENTRIES] [SECONDS]`, a million and 10 where none are told.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::fleet::Fleet;
+use common::process::{Client, Listed, Setup, query, scratch};
+use sailmux::ledger::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const AT: UnixMs = 1_794_715_200_000;
+
+fn entry(n: u64) -> Entry {
+    Entry {
+        at: AT + n as UnixMs,
+        tenant: ["hsinyi-realty", "kaohsiung-hr", "lanyang-law"][n as usize % 3].to_owned(),
+        known: true,
+        class: "envelope-search".to_owned(),
+        query: format!("{n:016x}"),
+        asked: 4,
+        served: 4,
+        attempts: 4,
+        work: 4000,
+        outcome: Outcome::Whole,
+        share: Share::Within,
+    }
+}
+
+fn calendar() -> Calendar {
+    Calendar::new("Asia/Taipei").expect("a zone")
+}
+
+fn kept(entries: u64) -> Result<(), Box<dyn std::error::Error>> {
+    let dir = scratch("cost");
+    let options = Options::default();
+    let (mut store, _) = Store::open(RealDisk::own(&dir)?, calendar(), options.clone(), "n1", AT)?;
+    let groups: Vec<Vec<Record>> = (0..entries)
+        .collect::<Vec<_>>()
+        .chunks(512)
+        .map(|c| c.iter().map(|n| Record::Entry(entry(*n))).collect())
+        .collect();
+    let start = Instant::now();
+    for group in &groups {
+        store.append(group)?;
+        store.commit()?;
+    }
+    let took = start.elapsed().as_secs_f64();
+    println!("appended in groups of 512, each synced: {:.0} entries a second", entries as f64 / took);
+    drop(store);
+    let bytes: u64 =
+        std::fs::read_dir(&dir)?.map_while(Result::ok).filter_map(|f| Some(f.metadata().ok()?.len())).sum();
+    println!("on disk: {:.1} bytes an entry, snapshots included", bytes as f64 / entries as f64);
+    let start = Instant::now();
+    let (store, found) = Store::open(RealDisk::own(&dir)?, calendar(), options, "n1", AT)?;
+    let took = start.elapsed().as_secs_f64() * 1e3;
+    println!(
+        "start after a kill with {entries} entries: {took:.1} ms, {} records read behind the snapshot",
+        found.records
+    );
+    drop(store);
+    let start = Instant::now();
+    read_all(&RealDisk::look(&dir), &calendar(), |_, _, _| {})?;
+    println!("all records read from the first: {:.0} ms", start.elapsed().as_secs_f64() * 1e3);
+    let (mut store, _) = Store::open(RealDisk::own(&dir)?, calendar(), Options::default(), "n1", AT)?;
+    let start = Instant::now();
+    for n in 0..500 {
+        store.append(&[Record::Entry(entry(n))])?;
+        store.commit()?;
+    }
+    println!("one entry and its sync: {:.3} ms", start.elapsed().as_secs_f64() * 1e3 / 500.0);
+    std::fs::remove_dir_all(&dir)?;
+    Ok(())
+}
+
+fn brought() {
+    let (mut handle, intake) = queue();
+    let all: Vec<Entry> = (0..60_000).map(entry).collect();
+    let start = Instant::now();
+    for entry in all {
+        handle.put(entry);
+    }
+    println!(
+        "brought to the thread, in the event loop: {:.0} ns an entry",
+        start.elapsed().as_nanos() as f64 / 6e4
+    );
+    drop(intake);
+}
+
+/// Times to whole answers, in ms, by three clients.
+fn answers(ledger: Option<&str>, seconds: f64) -> Vec<f64> {
+    let fleet = Fleet::new(6);
+    let known: Vec<Listed> = fleet
+        .addresses
+        .iter()
+        .map(|(n, a)| Listed {
+            name: n.clone().leak(),
+            address: a.to_string(),
+            cell: fleet.cell(n),
+            lifecycle: "Ready",
+            started: 0,
+        })
+        .collect();
+    let operator =
+        ledger.map(|mode| format!("ledger: {{dir: {}, mode: {mode}}}\n", scratch("answers").display()));
+    let mixer = Setup { operator, ..Setup::new(&known) }.start();
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..3)
+        .map(|c| {
+            let (stop, address) = (stop.clone(), mixer.address);
+            thread::spawn(move || {
+                let (mut client, mut times) = (Client::connect(address), Vec::new());
+                while !stop.load(Ordering::Relaxed) {
+                    let id = format!("c{c}n{}", times.len());
+                    let start = Instant::now();
+                    assert_eq!(client.ask(query(&id, "5000m", &[0, 1, 2])).status, 200);
+                    times.push(start.elapsed().as_secs_f64() * 1e3);
+                }
+                times
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs_f64(seconds));
+    stop.store(true, Ordering::Relaxed);
+    let mut times: Vec<f64> = clients.into_iter().flat_map(|c| c.join().expect("answered")).collect();
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let mut told = std::env::args().skip(1);
+    let entries = told.next().and_then(|n| n.parse().ok()).unwrap_or(1_000_000);
+    let seconds = told.next().and_then(|n| n.parse().ok()).unwrap_or(10.0);
+    brought();
+    kept(entries)?;
+    println!("ledger    queries   p50 ms   p99 ms");
+    for ledger in [None, Some("group"), Some("strict"), None, Some("group"), Some("strict")] {
+        let times = answers(ledger, seconds);
+        let at = |q: f64| times[((times.len() - 1) as f64 * q) as usize];
+        println!("{:8} {:8} {:8.2} {:8.2}", ledger.unwrap_or("off"), times.len(), at(0.5), at(0.99));
+    }
+    Ok(())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod demo;
 mod inventory;
+mod ledger;
 mod run;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -31,6 +32,9 @@
     /// Look at inventory files, compare them, and confirm a list that is held back
     #[command(subcommand)]
     Inventory(inventory::Inventory),
+    /// Use by tenant: totals, corrections, periods, exports
+    #[command(subcommand)]
+    Ledger(ledger::Command),
     /// The operators' file
     #[command(subcommand)]
     Config(config::Config),
@@ -66,6 +70,7 @@
         Command::Run => run::run(),
         Command::Check(check) => check.run(),
         Command::Inventory(inventory) => inventory.run(),
+        Command::Ledger(ledger) => ledger.run(),
         Command::Config(config) => config.run(),
         Command::Demo(demo) => demo.run(),
         Command::Completions { shell } => {
@@ -95,6 +100,17 @@
     }
 }
 
+/// Rows as columns for a reader, the first one as their heads.
+fn columns<const N: usize>(rows: &[[String; N]]) -> String {
+    let width = |column: usize| rows.iter().map(|r| r[column].chars().count()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..N).map(width).collect();
+    let line = |row: &[String; N]| {
+        let cells: String = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}  ")).collect();
+        format!("{}\n", cells.trim_end())
+    };
+    rows.iter().map(line).collect()
+}
+
 fn man() -> Result<(), Failure> {
     let mut text = Vec::new();
     let command = Cli::command();
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -2,6 +2,7 @@
 //! out of its bounds is a problem with file, line and field; all of them are told at once.
 
 use crate::inventory::{self, Bounds, Field as NodeField, Format, Mapping, Options};
+use crate::ledger::{self, Calendar, PriceList};
 use crate::membership::{FileList, GuardSettings};
 use crate::problem::{Problem, Problems};
 use crate::yaml::{self, Node};
@@ -101,6 +102,8 @@
         flight: FlightRecord = FlightRecord::default(),
         /// Nodes by inventory files.
         inventory: InventoryRecord = InventoryRecord::default(),
+        /// Use by tenant, kept on disk.
+        ledger: LedgerRecord = LedgerRecord::default(),
         /// What the program writes to its standard error.
         log: LogRecord = LogRecord::default(),
     }
@@ -175,6 +178,36 @@
         values: Count<100, 50_000_000> = Count(2_000_000),
     }
 
+    /// Use by tenant, kept on disk; off unless there is a directory.
+    LedgerRecord {
+        /// The directory, beside this file unless absolute; one process owns it.
+        dir: Option<String> = None,
+        /// Whether an answer waits until its entry is safe.
+        mode: LedgerMode = LedgerMode::Group,
+        /// Milliseconds between two commits: in group mode a crash loses no more than that.
+        commit_ms: Count<1, 1000> = Count(50),
+        /// Milliseconds that an answer waits for its entry at most, in strict mode.
+        answer_wait_ms: Count<1, 1000> = Count(250),
+        /// The time zone of the billing periods, by its name in the IANA database.
+        time_zone: String = "Asia/Taipei".to_owned(),
+        /// Hours after a period's end until it closes.
+        grace_hours: Count<0, 744> = Count(24),
+        /// In which form a period is exported when it closes.
+        export: LedgerExport = LedgerExport::Off,
+        /// Megabytes of a segment, beyond which it is sealed.
+        segment_mb: Count<1, 1024> = Count(8),
+        /// Units of work by class; a class that is not there costs a unit a part.
+        prices: BTreeMap<String, PriceRecord> = BTreeMap::new(),
+    }
+
+    /// Units of work, in thousandths.
+    PriceRecord {
+        /// For a query answered.
+        query: Count<0, 1_000_000_000> = Count(0),
+        /// For each part served.
+        part: Count<0, 1_000_000_000> = Count(1000),
+    }
+
     /// What the program writes to its standard error.
     LogRecord {
         /// Text for readers, or a JSON object a line.
@@ -234,6 +267,26 @@
         Optional = "optional",
     }
 
+    /// Whether answers wait for the ledger.
+    LedgerMode {
+        /// They do not; a crash loses what came since the last commit.
+        Group = "group",
+        /// They do.
+        Strict = "strict",
+    }
+
+    /// The form of exports.
+    LedgerExport {
+        /// By command alone.
+        Off = "off",
+        /// Rows under a header.
+        Csv = "csv",
+        /// A JSON object a line.
+        JsonLines = "jsonl",
+        /// Arrow's IPC file.
+        Arrow = "arrow",
+    }
+
     /// The log's form.
     LogFormat {
         /// For readers.
@@ -375,10 +428,29 @@
     pub flight_listen: Option<SocketAddr>,
     /// Inventories.
     pub inventory: Option<Inventory>,
+    /// Use by tenant.
+    pub ledger: Option<Ledger>,
     /// The log.
     pub log: LogRecord,
 }
 
+/// A ledger that is to be kept.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    /// Where.
+    pub dir: PathBuf,
+    /// How long an answer waits for its entry at most; none: it does not.
+    pub strict: Option<Duration>,
+    /// Between two commits.
+    pub every: Duration,
+    /// Its months.
+    pub calendar: Calendar,
+    /// How it is kept.
+    pub options: ledger::Options,
+    /// What use costs.
+    pub prices: PriceList,
+}
+
 /// Inventories and how they are watched.
 #[derive(Clone, Debug)]
 pub struct Inventory {
@@ -449,12 +521,45 @@
         let operator = Operator {
             flight_listen: record.flight.listen.map(|a| a.0),
             inventory: inventory_of(&record.inventory, &tree, &mut root),
+            ledger: ledger_of(&record.ledger, &tree, &mut root),
             log: record.log,
         };
         if problems.is_empty() { Ok(operator) } else { Err(Problems(problems)) }
     }
 }
 
+fn ledger_of(record: &LedgerRecord, tree: &Node, root: &mut Place<'_>) -> Option<Ledger> {
+    let line = tree.get("ledger").map_or(1, |n| n.line);
+    let line = tree.get("ledger").and_then(|n| n.get("time_zone")).map_or(line, |n| n.line);
+    let calendar = match Calendar::new(&record.time_zone) {
+        Ok(calendar) => calendar,
+        Err(problem) => {
+            root.within("ledger").within("time_zone").wrong(line, problem);
+            return None;
+        }
+    };
+    let beside = Path::new(root.file).parent().unwrap_or(Path::new("")).to_owned();
+    let price = |(class, p): (&String, &PriceRecord)| (class.clone(), (p.query.0, p.part.0));
+    Some(Ledger {
+        dir: beside.join(record.dir.as_ref()?),
+        strict: (record.mode == LedgerMode::Strict).then_some(Duration::from_millis(record.answer_wait_ms.0)),
+        every: Duration::from_millis(record.commit_ms.0),
+        calendar,
+        options: ledger::Options {
+            segment_bytes: (record.segment_mb.0 << 20) as usize,
+            grace: (record.grace_hours.0 * 3_600_000) as i64,
+            window: if record.mode == LedgerMode::Strict { 0 } else { record.commit_ms.0 as i64 },
+            export: match record.export {
+                LedgerExport::Off => None,
+                LedgerExport::Csv => Some(ledger::Format::Csv),
+                LedgerExport::JsonLines => Some(ledger::Format::JsonLines),
+                LedgerExport::Arrow => Some(ledger::Format::Arrow),
+            },
+        },
+        prices: PriceList { classes: record.prices.iter().map(price).collect() },
+    })
+}
+
 /// The records as the program uses them; what they say together may be wrong though each is right.
 fn inventory_of(record: &InventoryRecord, tree: &Node, root: &mut Place<'_>) -> Option<Inventory> {
     let mut at = root.within("inventory");
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -61,6 +61,11 @@
     lists_confirmed: "Lists taken after they were held back.",
     nodes_forgotten: "Nodes forgotten a while after they left the list.",
     watches_lost: "Watches of the list that ended or fell silent.",
+    ledger_entries: "Queries entered in the ledger.",
+    ledger_lost: "Entries that the ledger could not keep; a gap is recorded.",
+    ledger_failures: "Times that the ledger's disk began to fail.",
+    ledger_periods_closed: "Billing periods closed.",
+    ledger_exports: "Exports of the ledger done.",
     reloads: "Times that the configuration was read anew.",
     reloads_rejected: "Times that the old settings stood, for the file made no sense.",
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::api::{LoadReport, Millis};
 use crate::config::SiteSettings;
+use crate::ledger::{Entry, Told};
 use crate::membership::{Input, NodeList, Notice};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -137,6 +138,8 @@
     },
     /// The watch of the list has ended or has fallen silent.
     WatchLost,
+    /// What the ledger's keeper has to tell.
+    Ledger(Told),
     /// The configuration was read anew.
     Settings(Box<SiteSettings>, Limits),
     /// It was to be read anew, but makes no sense.
@@ -224,4 +227,7 @@
     Log(String),
     /// A change in who is a node, for the operators.
     Notice(Notice),
+    /// Use by a tenant, for the ledger. It comes before the reply to the client, if that is still there; its time is the
+    /// core's.
+    Entry(ClientId, Entry),
 }
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -7,6 +7,7 @@
     ReplicaState,
 };
 use crate::config::SiteSettings;
+use crate::ledger::{self, Share, Told};
 use crate::membership::{Input, NodeList, NodeState, Notice, Output};
 use bytes::Bytes;
 use std::collections::{BTreeSet, HashSet, VecDeque};
@@ -90,6 +91,16 @@
                 self.state.counters.watches_lost += 1;
                 self.news.push_back(api::Event::ListFailed);
             }
+            Event::Ledger(told) => {
+                let counters = &mut self.state.counters;
+                match told {
+                    Told::Lost(gap) => counters.ledger_lost += gap.entries,
+                    Told::Failing(_) => counters.ledger_failures += 1,
+                    Told::Closed(_) => counters.ledger_periods_closed += 1,
+                    Told::Exported(_) => counters.ledger_exports += 1,
+                    Told::Safe(_) | Told::Working => {}
+                }
+            }
             Event::Settings(site, limits) => self.settings(*site, limits),
             Event::SettingsRejected => self.state.counters.reloads_rejected += 1,
             Event::Tick => {
@@ -153,6 +164,7 @@
         self.state.counters.clients_closed += 1;
         if let Some(query) = c.query {
             self.state.counters.clients_gone += 1;
+            self.enter(query, ledger::Outcome::Gone);
             self.forget_query(query);
             self.news.push_back(api::Event::ClientGone { query });
         }
@@ -221,7 +233,17 @@
         }
         let ids = parts.iter().map(|p| p.part).collect();
         state.names.insert(new.name.clone());
-        state.queries.insert(query, Query { client, name: new.name, text: new.text, parts: ids });
+        let tenant = new.tenant.as_ref().and_then(|name| state.site.tenants.iter().position(|t| t == name));
+        let held = Query {
+            client,
+            class,
+            tenant: (new.tenant, tenant.is_some()),
+            share: Share::Within,
+            name: new.name,
+            text: new.text,
+            parts: ids,
+        };
+        state.queries.insert(query, held);
         if let Some(c) = state.clients.get_mut(&client) {
             c.query = Some(query);
         }
@@ -229,7 +251,6 @@
         let most = state.site.module.classes[class].deadline;
         let time_left = new.time_left.map_or(most, |told| told.min(most));
         state.arm(self.now + time_left, Timer::Query(query));
-        let tenant = new.tenant.and_then(|name| state.site.tenants.iter().position(|t| *t == name));
         let retry = new.retry;
         self.news.push_back(api::Event::Query { query, class, tenant, time_left, retry, parts });
     }
@@ -265,17 +286,62 @@
             Reply::Expired => counters.queries_expired += 1,
             _ => counters.queries_failed += 1,
         }
+        self.enter(
+            query,
+            match reply {
+                Reply::Answer { whole: true, .. } => ledger::Outcome::Whole,
+                Reply::Answer { .. } => ledger::Outcome::Partial,
+                Reply::Refused { .. } => ledger::Outcome::Refused,
+                Reply::Expired => ledger::Outcome::Expired,
+                _ => ledger::Outcome::Failed,
+            },
+        );
         self.forget_query(query);
         self.reply(client, reply);
     }
 
+    /// Enters a query's end in the ledger, if one is kept: before its parts are let go of.
+    fn enter(&mut self, query: QueryId, outcome: ledger::Outcome) {
+        let State { prices: Some(prices), queries, parts, site, counters, .. } = &mut *self.state else {
+            return;
+        };
+        let Some(q) = queries.get(&query) else { return };
+        let of_query = || q.parts.iter().filter_map(|p| parts.get(p));
+        let served = of_query().filter(|p| p.value.is_some()).count() as u32;
+        let class = site.classes.get(q.class).cloned().unwrap_or_default();
+        counters.ledger_entries += 1;
+        let entry = ledger::Entry {
+            at: self.now as i64,
+            tenant: q.tenant.0.clone().unwrap_or_default(),
+            known: q.tenant.1,
+            work: if outcome.is_billed() { prices.work(&class, served) } else { 0 },
+            class,
+            query: q.name.to_string(),
+            asked: q.parts.len() as u32,
+            served,
+            attempts: of_query().map(|p| p.attempts).sum(),
+            outcome,
+            share: q.share,
+        };
+        self.effects.push(Effect::Entry(q.client, entry));
+    }
+
     // ---- The module -----------------------------------------------------------------------------------
 
     /// Tells the module all news and carries out what it wants, until it is content.
     fn settle_module(&mut self) {
         let mut actions = Vec::new();
         while let Some(event) = self.news.pop_front() {
+            let arrived = match &event {
+                api::Event::Query { query, tenant: Some(_), .. } => Some(*query),
+                _ => None,
+            };
             self.state.module.handle(self.now, event, &mut actions);
+            if let Some(q) = arrived.and_then(|id| self.state.queries.get_mut(&id))
+                && !self.state.module.within_quota()
+            {
+                q.share = Share::Beyond;
+            }
             for action in actions.drain(..) {
                 self.act(action);
             }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -4,6 +4,7 @@
 use crate::Balancer;
 use crate::api::*;
 use crate::config::SiteSettings;
+use crate::ledger::{PriceList, Share};
 use crate::membership::{GuardSettings, Membership};
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -63,6 +64,8 @@
     /// When the operators asked this mixer to end.
     pub(super) terminating: Option<Millis>,
     pub(super) exited: bool,
+    /// What use costs, where a ledger is kept.
+    pub(super) prices: Option<PriceList>,
 }
 
 /// A point of time that can be sorted; times are never negative or not a number.
@@ -108,6 +111,10 @@
 
 pub(super) struct Query {
     pub client: ClientId,
+    pub class: usize,
+    /// As the client named it, and whether the settings know it.
+    pub tenant: (Option<String>, bool),
+    pub share: Share,
     pub name: Arc<str>,
     pub text: Arc<str>,
     pub parts: Vec<PartId>,
@@ -264,9 +271,15 @@
             next_id: 0,
             terminating: None,
             exited: false,
+            prices: None,
         })
     }
 
+    /// From now on each final answer is entered in a ledger, by these prices.
+    pub fn keep_ledger(&mut self, prices: PriceList) {
+        self.prices = Some(prices);
+    }
+
     /// When the core next wants a [`super::Event::Tick`].
     pub fn next_timer(&self) -> Option<Millis> {
         self.timers.first().map(|(at, _)| at.millis())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod core;
 pub mod inventory;
 pub mod json;
+pub mod ledger;
 pub mod logging;
 mod logic;
 pub mod membership;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,11 +8,13 @@
 mod http;
 mod inventory;
 mod leaf;
+mod ledger;
 mod query;
 
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::core::{AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, reduce};
+use crate::ledger::Told;
 use crate::logging;
 use crate::membership;
 use std::cell::Cell;
@@ -39,6 +41,8 @@
     Client(ClientId, mpsc::Sender<ToClient>),
     /// News for the core.
     Event(Event),
+    /// News of the ledger.
+    Ledger(Told),
 }
 
 /// What a client's task is told.
@@ -101,7 +105,12 @@
         accepting,
         stop_flight: None,
         inventories: paths,
+        ledger: None,
     };
+    if let Some(set) = config.operator.ledger {
+        state.keep_ledger(set.prices.clone());
+        hub.ledger = Some(ledger::Keeper::start(set, &config.name, hub.to_core.clone(), (*clock).clone())?);
+    }
     let begin = Event::Membership { input: membership::Input::Begin { known, files: lists }, wall_ahead };
     hub.carry_out(reduce(&mut state, clock.now(), begin));
     if let Some(inventory) = inventory {
@@ -118,17 +127,25 @@
     }
     let done = loop {
         let wake = state.next_timer().unwrap_or_else(|| clock.now() + 1000.0);
+        let wake = hub.ledger.as_ref().and_then(ledger::Keeper::due).map_or(wake, |due| wake.min(due));
         let wake = Instant::from_std(clock.instant(wake));
         let event = tokio::select! {
             input = inbox.recv() => match input {
                 Some(Input::Event(event)) => event,
+                Some(Input::Ledger(told)) => {
+                    hub.ledger_told(&told, clock.now());
+                    Event::Ledger(told)
+                }
                 Some(Input::Client(client, to_client)) => {
                     hub.clients.insert(client, to_client);
                     Event::ClientOpened(client)
                 }
                 None => break Ok(()),
             },
-            () = sleep_until(wake) => Event::Tick,
+            () = sleep_until(wake) => {
+                hub.release(clock.now());
+                Event::Tick
+            }
             _ = terminate.recv() => Event::Terminate,
             _ = interrupt.recv() => Event::Terminate,
             _ = report.recv() => {
@@ -160,6 +177,9 @@
             break Ok(());
         }
     };
+    if let Some(keeper) = hub.ledger.take() {
+        keeper.end();
+    }
     eprint!("{}", state.counters().text());
     done
 }
@@ -200,6 +220,8 @@
     stop_flight: Option<oneshot::Sender<()>>,
     /// The inventories' paths, for the log.
     inventories: Vec<Arc<str>>,
+    /// Use by tenant, where a ledger is kept.
+    ledger: Option<ledger::Keeper>,
 }
 
 impl Hub {
@@ -208,9 +230,17 @@
         for effect in effects {
             match effect {
                 Effect::Reply { client, reply, close } => {
-                    if let Some(to) = self.clients.get(&client) {
-                        // A client has one reply to come: there is room, or the client's task is gone.
-                        let _ = to.try_send(ToClient::Reply(reply, close));
+                    let held = match &mut self.ledger {
+                        Some(keeper) => keeper.hold(client, reply, close),
+                        None => Some((reply, close)),
+                    };
+                    if let Some((reply, close)) = held {
+                        self.reply(client, reply, close);
+                    }
+                }
+                Effect::Entry(client, entry) => {
+                    if let Some(keeper) = &mut self.ledger {
+                        keeper.enter(client, entry);
                     }
                 }
                 Effect::CloseClient(client) => {
@@ -244,6 +274,27 @@
         false
     }
 
+    fn reply(&self, client: ClientId, reply: Reply, close: bool) {
+        if let Some(to) = self.clients.get(&client) {
+            // A client has one reply to come: there is room, or the client's task is gone.
+            let _ = to.try_send(ToClient::Reply(reply, close));
+        }
+    }
+
+    /// Sends the replies that have waited for their entries, or for long enough.
+    fn release(&mut self, now: f64) {
+        for (client, reply, close) in self.ledger.as_mut().map(|k| k.release(now)).unwrap_or_default() {
+            self.reply(client, reply, close);
+        }
+    }
+
+    fn ledger_told(&mut self, told: &Told, now: f64) {
+        if let Some(keeper) = &mut self.ledger {
+            keeper.told(told);
+        }
+        self.release(now);
+    }
+
     fn order(&mut self, conn: ConnId, order: ToNode) {
         // A task that takes no orders any more is ended: the core hears of its break and asks nothing new of it.
         if self.conns.get(&conn).is_some_and(|to| to.try_send(order).is_err()) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Was the last query of a known tenant within that tenant's quota, as this module judged it?
+    pub fn within_quota(&self) -> bool {
+        self.quotas.within
+    }
+
     /// Who is up in which cell, and the means over those.
     pub(crate) fn reindex(&mut self) {
         self.cells = vec![Vec::new(); self.set.cells as usize];
@@ -354,6 +359,8 @@
     shares: Vec<f64>,
     saved: Vec<f64>,
     most: f64,
+    /// The last query taken was within its tenant's quota.
+    within: bool,
 }
 
 impl Quotas {
@@ -361,7 +368,7 @@
         let rates: Vec<f64> = rates.map(|r| sane(r, 0.0).max(0.0)).collect();
         let all = rates.iter().sum::<f64>().max(f64::MIN_POSITIVE);
         let shares: Vec<f64> = rates.iter().map(|r| r / all).collect();
-        Quotas { saved: vec![most; shares.len()], shares, most }
+        Quotas { saved: vec![most; shares.len()], shares, most, within: true }
     }
     /// Counts a tenant's query; was it within the tenant's quota? An unknown tenant has none to exceed.
     pub fn take(&mut self, tenant: usize) -> bool {
@@ -371,6 +378,7 @@
         let Some(saved) = self.saved.get_mut(tenant) else { return true };
         let within = *saved >= 1.0;
         *saved = (*saved - 1.0).max(0.0);
+        self.within = within;
         within
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A caller of the module that remembers what is out.
 #![allow(dead_code)]
 
+pub mod faulty;
 pub mod fleet;
 pub mod flight;
 pub mod process;
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -370,6 +370,18 @@
     }
 }
 
+#[test]
+fn a_name_cut_short_in_the_last_line_drains_nobody() {
+    let text = "state,host,port,cell,name\n,h,1,0,s1\ndraining,h,2,0,s2\ndraining,h,12,0,s12\n";
+    let drains = |text: &str| -> Vec<String> {
+        let list = read_one("n.csv", text).expect("a list");
+        list.records.iter().filter(|r| r.drains()).map(|r| r.name.to_string()).collect()
+    };
+    assert_eq!(drains(text), ["s12", "s2"]);
+    let cut = text.replace(",h,1,0,s1\n", "").replace("s12\n", "s1");
+    assert_eq!(drains(&cut), ["s2"], "whether s1 or s12 was meant is not known");
+}
+
 // ---- Properties -----------------------------------------------------------------------------------------------
 
 fn node_list() -> impl Strategy<Value = Vec<NodeEntry>> {
--- a/tests/inventory_load.rs
+++ b/tests/inventory_load.rs
@@ -65,6 +65,35 @@
     drains(Way::InPlace, "n.yaml", "  watch: notify\n");
 }
 
+/// Each line an instant after the one before: many of its states are whole lists that lose little.
+#[test]
+fn a_file_that_grows_line_by_line_is_taken_once_it_stands_still() {
+    use std::io::Write;
+    let path = scratch("grows").join("n.csv");
+    let row = |i: usize| format!("s{i:02},127.0.0.1,{},{}\n", 9000 + i, i % 3);
+    let write = |rows: usize| {
+        let mut file = fs::File::create(&path).expect("made");
+        file.write_all(b"name,host,port,cell\n").expect("written");
+        for i in 0..rows {
+            file.write_all(row(i).as_bytes()).expect("written");
+            sleep(Duration::from_millis(4));
+        }
+    };
+    write(60);
+    let operator = Some(format!("inventory:\n  file: {}\n  settle_ms: 150\n", path.display()));
+    let mut mixer = Setup { operator, ..Setup::new(&[]) }.start();
+    for _ in 0..5 {
+        write(61);
+        write(60);
+    }
+    write(62);
+    mixer.told_anew("nodes=62");
+    // One goes and comes as the file is written again and again; no more than that may ever go.
+    let few = |l: &&String| l.contains("gone=0 ") || l.contains("gone=1 ");
+    let lost = mixer.log().iter().filter(|l| l.contains("list taken")).filter(|l| !few(l));
+    assert_eq!(lost.count(), 0, "{:#?}", mixer.log());
+}
+
 /// A version each 50 ms, two of three of them broken; in the middle a drain.
 #[test]
 fn a_drain_in_the_middle_of_a_storm_of_broken_files() {
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,404 @@
+//! The ledger without a process: crashes at every step, power cuts, disks that fail, periods, corrections, exports.
+
+mod common;
+
+use common::faulty::*;
+use proptest::prelude::*;
+use sailmux::ledger::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
+use std::time::Duration;
+
+/// 2026-11-15 12:00 in Taipei.
+const NOVEMBER: UnixMs = 1_794_715_200_000;
+const DAY: UnixMs = 86_400_000;
+
+fn calendar() -> Calendar {
+    Calendar::new("Asia/Taipei").expect("a zone")
+}
+
+fn entry(n: u64, at: UnixMs) -> Entry {
+    Entry {
+        at,
+        tenant: ["hsinyi-realty", "kaohsiung-hr", "lanyang-law"][n as usize % 3].to_owned(),
+        known: true,
+        class: "envelope-search".to_owned(),
+        query: format!("q{n}"),
+        asked: 3,
+        served: 3,
+        attempts: 4,
+        work: 3000,
+        outcome: Outcome::Whole,
+        share: if n.is_multiple_of(5) { Share::Beyond } else { Share::Within },
+    }
+}
+
+fn small() -> Options {
+    Options { segment_bytes: 700, grace: 0, window: 0, export: None }
+}
+
+fn open(disk: &FaultyDisk, now: UnixMs) -> Result<(Store<FaultyDisk>, Recovery), LedgerError> {
+    Store::open(disk.clone(), calendar(), small(), "n1", now)
+}
+
+/// The queries in a ledger, in order.
+fn queries(disk: &FaultyDisk) -> Vec<String> {
+    let mut all = Vec::new();
+    read_all(disk, &calendar(), |_, record, _| {
+        if let Record::Entry(e) = record {
+            all.push(e.query.clone());
+        }
+    })
+    .expect("readable");
+    all
+}
+
+/// Who bills: takes each export once by its name, whenever it finds it.
+#[derive(Default)]
+struct Importer {
+    taken: BTreeMap<String, Vec<u8>>,
+}
+
+impl Importer {
+    fn look(&mut self, disk: &FaultyDisk) {
+        for name in disk.list().expect("names").iter().filter(|n| n.ends_with(".csv")) {
+            let bytes = disk.read(name).expect("read");
+            let before = self.taken.entry(name.clone()).or_insert_with(|| bytes.clone());
+            assert_eq!(*before, bytes, "{name} has another content than before");
+        }
+    }
+
+    fn queries(&self) -> Vec<String> {
+        let rows = self.taken.values().flat_map(|b| {
+            String::from_utf8_lossy(b).into_owned().lines().map(str::to_owned).collect::<Vec<_>>()
+        });
+        let rows = rows.filter(|l| !l.starts_with("seq,"));
+        rows.map(|l| l.split(',').nth(6).expect("a query").to_owned()).collect()
+    }
+}
+
+/// A life of a ledger: entries in groups, a period that closes, exports, compaction. Queries are acknowledged once
+/// committed; what was not comes again, as no client would, so that the end is known.
+fn live(disk: &FaultyDisk, acked: &mut BTreeSet<String>, importer: &mut Importer) -> Result<(), LedgerError> {
+    let (mut store, _) = open(disk, NOVEMBER)?;
+    let there: BTreeSet<String> = queries(disk).into_iter().collect();
+    for group in 0..6u64 {
+        let at = NOVEMBER + group as UnixMs * 4 * DAY;
+        let new = (group * 4..group * 4 + 4).filter(|n| !there.contains(&format!("q{n}")));
+        let records: Vec<Record> = new.map(|n| Record::Entry(entry(n, at))).collect();
+        if !records.is_empty() {
+            store.append(&records)?;
+            store.commit()?;
+            acked.extend((group * 4..group * 4 + 4).map(|n| format!("q{n}")));
+        }
+        if group == 2 {
+            store.export("2026-11".parse().expect("a period"), Format::Csv, at)?;
+            importer.look(disk);
+        }
+    }
+    let december = NOVEMBER + 20 * DAY;
+    for period in store.book().due(december, 0) {
+        store.close(period, december)?;
+    }
+    for period in ["2026-11", "2026-12"] {
+        store.export(period.parse().expect("a period"), Format::Csv, december)?;
+    }
+    importer.look(disk);
+    store.compact()?;
+    Ok(())
+}
+
+/// The machine goes down at each step in turn, in each way, and then once more at some step of its next start.
+#[test]
+fn a_crash_at_any_step_loses_nothing_committed_and_exports_all_once() {
+    let steps = {
+        let disk = FaultyDisk::default();
+        disk.stop_at(usize::MAX);
+        live(&disk, &mut BTreeSet::new(), &mut Importer::default()).expect("no fault");
+        disk.steps()
+    };
+    assert!(steps > 60, "{steps} steps");
+    let mut crashes = 0;
+    for stop in 1..=steps {
+        for down in [Down::Kill, Down::Power(0), Down::Power(37), Down::Power(usize::MAX)] {
+            for second in [None, Some(stop % 7 + 1)] {
+                let (mut acked, mut importer) = (BTreeSet::new(), Importer::default());
+                let mut disk = FaultyDisk::default();
+                for at in [Some(stop), second].into_iter().flatten() {
+                    disk.stop_at(at);
+                    let ended = live(&disk, &mut acked, &mut importer);
+                    if disk.stopped() {
+                        assert!(ended.is_err());
+                        crashes += 1;
+                        disk = disk.after(down);
+                    }
+                    disk.stop_at(usize::MAX);
+                    let (store, _) = open(&disk, NOVEMBER).unwrap_or_else(|e| panic!("{stop} {down:?}: {e}"));
+                    drop(store);
+                    let all = queries(&disk);
+                    let set: BTreeSet<String> = all.iter().cloned().collect();
+                    assert_eq!(all.len(), set.len(), "{stop} {down:?}: an entry stands twice");
+                    let exported: BTreeSet<String> = importer.queries().into_iter().collect();
+                    let lost: Vec<_> =
+                        acked.iter().filter(|q| !set.contains(*q) && !exported.contains(*q)).collect();
+                    assert!(lost.is_empty(), "{stop} {down:?}: lost {lost:?}");
+                }
+                live(&disk, &mut acked, &mut importer).unwrap_or_else(|e| panic!("{stop} {down:?}: {e}"));
+                let mut imported = importer.queries();
+                imported.sort();
+                let mut wanted: Vec<String> = (0..24).map(|n| format!("q{n}")).collect();
+                wanted.sort();
+                assert_eq!(imported, wanted, "{stop} {down:?} {second:?}: imported");
+            }
+        }
+    }
+    println!("{steps} steps, {crashes} crashes");
+}
+
+#[test]
+fn a_torn_tail_is_cut_and_a_damaged_middle_is_refused_with_its_place() {
+    let disk = FaultyDisk::default();
+    let options = Options { window: 0, ..Options::default() };
+    let mut store = Store::open(disk.clone(), calendar(), options.clone(), "n1", NOVEMBER).expect("new").0;
+    for n in 0..20 {
+        store.append(&[Record::Entry(entry(n, NOVEMBER))]).expect("written");
+        store.commit().expect("synced");
+    }
+    let name = disk.list().expect("names")[0].clone();
+    let length = disk.read(&name).expect("read").len();
+    // Every tail: records are whole or not there.
+    for cut in 0..length {
+        let torn = disk.after(Down::Kill);
+        let mut handle = torn.clone();
+        handle.truncate(&name, cut as u64).expect("cut");
+        let (store, found) =
+            Store::open(torn.clone(), calendar(), options.clone(), "n1", NOVEMBER).expect("opened");
+        assert!(found.records <= 21 && store.book().position().0 == found.records + 1);
+    }
+    // A byte anywhere before the last commit: refused, with the file and a place at or before it.
+    for at in (16..length - 120).step_by(13) {
+        let rotten = disk.after(Down::Kill);
+        rotten.rot(&name, at);
+        match Store::open(rotten, calendar(), options.clone(), "n1", NOVEMBER) {
+            Err(LedgerError::Damaged(file, damage)) => {
+                assert!(file == name && damage.offset <= at, "{damage}")
+            }
+            other => panic!("byte {at}: {:?}", other.map(|(_, r)| r)),
+        }
+    }
+    let rotten = disk.after(Down::Kill);
+    rotten.rot(&name, 7);
+    assert!(Store::open(rotten, calendar(), options, "n1", NOVEMBER).is_err(), "another version");
+}
+
+#[test]
+fn a_disk_that_fails_holds_nothing_up_and_what_is_lost_is_a_gap_with_its_bounds() {
+    for kind in [ErrorKind::StorageFull, ErrorKind::ReadOnlyFilesystem] {
+        let disk = FaultyDisk::default();
+        let (store, _) = open(&disk, NOVEMBER).expect("new");
+        let mut told = Vec::new();
+        let mut writer = Writer::new(store, Duration::ZERO, &small(), |t| told.push(t));
+        let mut number = 0;
+        let mut take = |writer: &mut Writer<_, _>, n: u64| {
+            number += 1;
+            writer.take((number, Record::Entry(entry(n, NOVEMBER + n as UnixMs))));
+        };
+        take(&mut writer, 0);
+        writer.flush();
+        disk.fail(Some(kind));
+        for n in 1..=66_000 {
+            take(&mut writer, n);
+            if n.is_multiple_of(20_000) {
+                writer.flush();
+            }
+        }
+        disk.fail(None);
+        writer.flush();
+        drop(writer);
+        assert_eq!(told[0], Told::Safe(1));
+        assert!(matches!(told[1], Told::Failing(_)));
+        let gap = Gap {
+            from: NOVEMBER + 65_537,
+            to: NOVEMBER + 66_000,
+            entries: 464,
+            reason: "the disk failed for too long".to_owned(),
+        };
+        assert_eq!(told[2..], [Told::Lost(gap.clone()), Told::Working, Told::Safe(66_001)]);
+        let book = read_all(&disk, &calendar(), |_, _, _| {}).expect("whole");
+        assert_eq!(book.gaps().iter().map(|(_, g)| g.clone()).collect::<Vec<_>>(), [gap]);
+        let all = queries(&disk);
+        assert_eq!(all.len(), 65_537);
+        assert_eq!(all.iter().collect::<BTreeSet<_>>().len(), 65_537, "none stands twice");
+    }
+}
+
+#[test]
+fn periods_close_and_change_by_corrections_alone() {
+    let disk = FaultyDisk::default();
+    let (mut store, _) = open(&disk, NOVEMBER).expect("new");
+    let november: Period = "2026-11".parse().expect("a period");
+    let end = calendar().end(november);
+    assert_eq!(calendar().period(end - 1).to_string(), "2026-11");
+    assert_eq!(calendar().period(end).to_string(), "2026-12");
+    assert_eq!(end, 1_796_054_400_000, "midnight in Taipei, 16:00 in UTC");
+    store.append(&[Record::Entry(entry(0, end - 1)), Record::Entry(entry(1, end))]).expect("written");
+    assert!(store.close(november, end - 1).is_err(), "it is not over");
+    assert_eq!(store.book().due(end + 999, 1000), []);
+    assert_eq!(store.book().due(end + 1000, 1000), [november]);
+    store.close(november, end + 1000).expect("closed");
+    assert!(store.close(november, end + 1000).is_err(), "closed already");
+    let sum = |store: &Store<FaultyDisk>, period: &str| -> (u64, u64) {
+        let of = |l: &Line| l.period.to_string() == period;
+        store
+            .book()
+            .totals()
+            .iter()
+            .filter(|(l, _)| of(l))
+            .fold((0, 0), |(q, l), (_, s)| (q + s.queries, l + s.late))
+    };
+    assert_eq!((sum(&store, "2026-11"), sum(&store, "2026-12")), ((1, 0), (1, 0)));
+    // The clock steps back an hour across the month's end: billed in the open period, marked as late.
+    store.append(&[Record::Entry(entry(2, end - 3_600_000))]).expect("written");
+    assert_eq!((sum(&store, "2026-11"), sum(&store, "2026-12")), ((1, 0), (2, 1)));
+    let made = |by: &str| Correction {
+        at: end + 5000,
+        tenant: "lanyang-law".to_owned(),
+        class: "envelope-search".to_owned(),
+        corrects: "2026-11".to_owned(),
+        share: Share::Within,
+        queries: -1,
+        parts: -3,
+        work: -3000,
+        by: by.to_owned(),
+        why: "counted for a test of ours".to_owned(),
+    };
+    assert!(store.correct(made(" ")).is_err(), "by whom?");
+    store.correct(made("billing")).expect("corrected");
+    assert_eq!(sum(&store, "2026-11"), (1, 0), "a closed period stays as it is");
+    assert_eq!(store.book().corrections()[0].1.to_string(), "2026-12");
+    // What was exported once is not exported again; what came since is.
+    let first = store.export(november, Format::Csv, end + 6000).expect("exported").expect("something");
+    assert_eq!(store.export(november, Format::Csv, end + 6000).expect("asked"), None);
+    let second = store.export("2026-12".parse().expect("a period"), Format::JsonLines, end + 6000);
+    let second = second.expect("exported").expect("something");
+    let text = String::from_utf8(disk.read(&format!("{}.jsonl", second.name)).expect("there")).expect("text");
+    assert_eq!(text.lines().count(), 3, "two entries and the correction");
+    assert!(text.lines().all(|l| serde_json::from_str::<serde_json::Value>(l).is_ok()));
+    let manifest = disk.read(&format!("{}.manifest.json", first.name)).expect("there");
+    let manifest: serde_json::Value = serde_json::from_slice(&manifest).expect("JSON");
+    assert_eq!((&manifest["entries"], &manifest["sha256"]), (&1.into(), &first.hash.expect("done").into()));
+}
+
+#[test]
+fn an_arrow_export_is_read_by_arrow() {
+    let disk = FaultyDisk::default();
+    let (mut store, _) = open(&disk, NOVEMBER).expect("new");
+    store.append(&(0..9).map(|n| Record::Entry(entry(n, NOVEMBER))).collect::<Vec<_>>()).expect("written");
+    let done = store.export("2026-11".parse().expect("a period"), Format::Arrow, NOVEMBER).expect("exported");
+    let bytes = disk.read(&format!("{}.arrow", done.expect("something").name)).expect("there");
+    let reader = arrow_ipc::reader::FileReader::try_new(std::io::Cursor::new(bytes), None).expect("Arrow");
+    let rows: usize = reader.map(|batch| batch.expect("a batch").num_rows()).sum();
+    assert_eq!(rows, 9);
+}
+
+#[test]
+fn a_run_that_ends_without_a_word_leaves_a_gap_unless_nothing_can_be_missing() {
+    for (window, ends, gaps) in [(50, false, 1), (50, true, 0), (0, false, 0)] {
+        let disk = FaultyDisk::default();
+        let options = Options { window, ..small() };
+        let start =
+            || Store::open(disk.clone(), calendar(), options.clone(), "n1", NOVEMBER + 9).expect("opened").0;
+        let mut store = start();
+        store.append(&[Record::Entry(entry(1, NOVEMBER + 5))]).expect("written");
+        if ends {
+            store.end(NOVEMBER + 6).expect("ended");
+        }
+        drop(store);
+        let store = start();
+        assert_eq!(store.book().gaps().len(), gaps);
+        assert!(
+            store
+                .book()
+                .gaps()
+                .iter()
+                .all(|(_, g)| (g.from, g.to, g.entries) == (NOVEMBER + 5, NOVEMBER + 9, 0))
+        );
+    }
+}
+
+#[test]
+fn names_of_unknown_tenants_are_bounded() {
+    let mut book = Book::new(calendar());
+    for n in 0..10_000 {
+        let stranger = Entry { tenant: format!("x{n}"), known: false, ..entry(n, NOVEMBER) };
+        book.apply(n + 1, &Record::Entry(stranger));
+    }
+    assert!(book.totals().len() <= 1002, "{} lines", book.totals().len());
+    assert_eq!(book.totals().values().map(|s| s.queries).sum::<u64>(), 10_000, "none is lost");
+}
+
+#[test]
+fn ledgers_of_several_mixers_are_held_against_each_other() {
+    let make = |mixer: &str, from: u64, to: u64, shift: UnixMs| {
+        let disk = FaultyDisk::default();
+        let mut store = Store::open(disk.clone(), calendar(), small(), mixer, NOVEMBER).expect("new").0;
+        for n in from..to {
+            store.append(&[Record::Entry(entry(n, NOVEMBER + n as UnixMs + shift))]).expect("written");
+        }
+        let mut records = Vec::new();
+        let book = read_all(&disk, &calendar(), |seq, r, _| records.push((seq, r.clone()))).expect("whole");
+        Ledger { place: mixer.to_owned(), book, records }
+    };
+    let found = reconcile(&[make("n1", 0, 50, 0), make("n2", 50, 80, 0)]);
+    assert!(found.is_complete() && found.entries == 80 && found.twice_count == 0);
+    assert_eq!(found.totals.values().map(|s| s.queries).sum::<u64>(), 80);
+    let found = reconcile(&[make("n1", 0, 50, 0), make("n2", 40, 80, 60_000), make("n1", 0, 10, 0)]);
+    assert!(!found.is_complete());
+    assert_eq!(found.overlaps.len(), 1);
+    assert_eq!(found.twice_count, 20, "ten at n2, ten at the other n1");
+    assert!(found.clocks.iter().any(|c| c.contains("60000 ms apart")), "{:?}", found.clocks);
+}
+
+#[test]
+fn a_segment_that_is_missing_is_told_with_its_records() {
+    let disk = FaultyDisk::default();
+    let (mut store, _) = open(&disk, NOVEMBER).expect("new");
+    for n in 0..60 {
+        store.append(&[Record::Entry(entry(n, NOVEMBER))]).expect("written");
+    }
+    store.commit().expect("synced");
+    let mut handle = disk.after(Down::Kill);
+    let segments: Vec<String> =
+        disk.list().expect("names").into_iter().filter(|n| n.starts_with("seg-")).collect();
+    assert!(segments.len() > 4, "{segments:?}");
+    handle.remove(&segments[2]).expect("removed");
+    let problem = read_all(&handle, &calendar(), |_, _, _| {}).err().map(|e| e.to_string()).expect("refused");
+    assert!(problem.contains(&segments[1]) && problem.contains("are missing"), "{problem}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// A book from a snapshot and the records behind it is the book from all records.
+    #[test]
+    fn a_start_by_snapshot_is_a_start_by_all_records(
+        entries in prop::collection::vec((0..40u64, 0..60i64, 0..6usize, any::<bool>()), 1..80),
+        close in any::<bool>(),
+    ) {
+        let disk = FaultyDisk::default();
+        let (mut store, _) = open(&disk, NOVEMBER).expect("new");
+        for (i, (n, day, outcome, known)) in entries.iter().enumerate() {
+            let e = Entry { known: *known, outcome: Outcome::ALL[*outcome], ..entry(*n, NOVEMBER + day * DAY) };
+            store.append(&[Record::Entry(e)]).expect("written");
+            if close && i == entries.len() / 2 {
+                store.close("2026-11".parse().expect("a period"), NOVEMBER + 20 * DAY).expect("closed");
+            }
+        }
+        store.commit().expect("synced");
+        let all = read_all(&disk, &calendar(), |_, _, _| {}).expect("whole");
+        let (again, found) = open(&disk.after(Down::Power(0)), NOVEMBER).expect("opened");
+        prop_assert!(found.records <= 20, "the snapshot was not used: {} records", found.records);
+        prop_assert_eq!(again.book().totals(), all.totals());
+        prop_assert_eq!(again.book().due(NOVEMBER + 100 * DAY, 0), all.due(NOVEMBER + 100 * DAY, 0));
+    }
+}
--- /dev/null
+++ b/tests/ledger_process.rs
@@ -0,0 +1,242 @@
+//! The ledger of real mixers that are killed at any moment while load runs, and of exports that are killed as well.
+
+mod common;
+
+use common::fleet::*;
+use common::process::*;
+use sailmux::ledger::{Calendar, Entry, Outcome, RealDisk, Record, Share, read_all};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// Each kill comes after so many milliseconds: printed, so that a run can be told.
+fn moments(rounds: u64) -> Vec<u64> {
+    let all: Vec<u64> = (0..rounds).map(|i| 60 + (i * 101 + 31) % 240).collect();
+    println!("killed after {all:?} ms");
+    all
+}
+
+/// Asks until the mixer is gone; the ids that were answered, in order, with their status.
+fn ask_until_killed(address: SocketAddr, owner: &str) -> Vec<(String, u16)> {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let mut answered = Vec::new();
+    let Ok(stream) = TcpStream::connect(address) else { return answered };
+    let mut stream = BufReader::new(stream);
+    loop {
+        let id = format!("k{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let text = query(&id, "5000m", &[0, 1, 2]).replace("acme", owner);
+        if stream.get_mut().write_all(text.as_bytes()).is_err() {
+            return answered;
+        }
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if stream.read_line(&mut head).unwrap_or(0) == 0 {
+                return answered;
+            }
+        }
+        let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.parse().ok()).unwrap_or(0);
+        if stream.read_exact(&mut vec![0; length]).is_err() {
+            return answered;
+        }
+        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+        answered.push((id, status));
+    }
+}
+
+fn entries(dir: &Path) -> (Vec<Entry>, usize) {
+    let mut all = Vec::new();
+    let calendar = Calendar::new("Asia/Taipei").expect("a zone");
+    let book = read_all(&RealDisk::look(dir), &calendar, |_, record, _| {
+        if let Record::Entry(e) = record {
+            all.push(e.clone());
+        }
+    });
+    (all, book.expect("whole").gaps().len())
+}
+
+struct Ledgered {
+    fleet: Fleet,
+    setup: Setup,
+    dir: std::path::PathBuf,
+}
+
+fn ledgered(mode: &str) -> Ledgered {
+    let fleet = Fleet::new(6);
+    let known: Vec<Listed> = fleet
+        .addresses
+        .iter()
+        .map(|(n, a)| Listed {
+            name: n.clone().leak(),
+            address: a.to_string(),
+            cell: fleet.cell(n),
+            lifecycle: "Ready",
+            started: 0,
+        })
+        .collect();
+    let dir = scratch("ledger");
+    let operator = Some(format!(
+        "ledger: {{dir: {}, mode: {mode}, prices: {{c: {{query: 500, part: 250}}}}}}\n",
+        dir.display()
+    ));
+    Ledgered { setup: Setup { operator, ..Setup::new(&known) }, fleet, dir }
+}
+
+/// Starts, asks with three clients, kills; what was answered to each client of each round.
+fn rounds(l: &Ledgered, moments: &[u64]) -> Vec<Vec<(String, u16)>> {
+    let round = |after: &u64| {
+        let mut mixer = l.setup.start();
+        let address = mixer.address;
+        let ask = |owner: &'static str| thread::spawn(move || ask_until_killed(address, owner));
+        let clients = ["acme", "acme", "stranger"].map(ask);
+        thread::sleep(Duration::from_millis(*after));
+        mixer.kill();
+        clients.map(|c| c.join().expect("no panic"))
+    };
+    moments.iter().flat_map(round).collect()
+}
+
+#[test]
+fn in_strict_mode_every_answer_is_entered_once_however_often_the_mixer_is_killed() {
+    let l = ledgered("strict");
+    let answered: BTreeMap<String, u16> = rounds(&l, &moments(12)).into_iter().flatten().collect();
+    let (entries, gaps) = entries(&l.dir);
+    let mut by_name: BTreeMap<&str, &Entry> = BTreeMap::new();
+    for e in &entries {
+        assert!(by_name.insert(&e.query, e).is_none(), "{} stands twice", e.query);
+    }
+    assert!(answered.len() > 100, "{} answers", answered.len());
+    for (id, status) in &answered {
+        let e = by_name.get(id.as_str()).unwrap_or_else(|| panic!("{id} was answered and is not entered"));
+        let wanted = if *status == 200 { (Outcome::Whole, 3, 1250) } else { (e.outcome, e.served, 0) };
+        assert_eq!((e.outcome, e.served, e.work), wanted, "{id}: {status}");
+    }
+    assert_eq!(gaps, 0);
+    // Those that no client saw were answered when the kill came: one a client and round at most.
+    assert!(
+        entries.len() <= answered.len() + 12 * 3,
+        "{} entries, {} answers",
+        entries.len(),
+        answered.len()
+    );
+    assert!(l.fleet.broken().is_empty(), "{:?}", l.fleet.broken());
+    let strangers = entries.iter().filter(|e| !e.known);
+    assert!(
+        strangers.clone().count() > 0
+            && strangers.clone().all(|e| e.tenant == "stranger" && e.share == Share::Within)
+    );
+}
+
+#[test]
+fn in_group_mode_only_the_last_moments_before_a_kill_are_missing_and_a_gap_says_so() {
+    let l = ledgered("group");
+    let rounds = rounds(&l, &moments(8));
+    let (entries, gaps) = entries(&l.dir);
+    let names: BTreeSet<&str> = entries.iter().map(|e| e.query.as_str()).collect();
+    assert_eq!(names.len(), entries.len(), "none stands twice");
+    for answered in &rounds {
+        // What is missing of a client's answers is their end.
+        let there = |(id, _): &(String, u16)| names.contains(id.as_str());
+        let first = answered.iter().position(|a| !there(a)).unwrap_or(answered.len());
+        assert!(
+            !answered[first..].iter().any(there),
+            "{} is missing, later ones are there",
+            answered[first].0
+        );
+    }
+    assert_eq!(gaps, 7, "each start but the first says that something may be missing");
+}
+
+#[test]
+fn a_mixer_that_ends_in_good_order_has_entered_all_and_left_no_gap() {
+    let l = ledgered("group");
+    let mut ids = Vec::new();
+    for _ in 0..2 {
+        let mut mixer = l.setup.start();
+        let mut client = Client::connect(mixer.address);
+        for _ in 0..20 {
+            let id = format!("e{}", ids.len());
+            assert_eq!(client.ask(query(&id, "5000m", &[0, 1])).status, 200);
+            ids.push(id);
+        }
+        drop(client);
+        mixer.signal("-TERM");
+        assert!(mixer.ended().success());
+    }
+    let (entries, gaps) = entries(&l.dir);
+    assert_eq!(entries.iter().map(|e| e.query.clone()).collect::<Vec<_>>(), ids);
+    assert_eq!(gaps, 0);
+    // A second process is told that the directory is owned; those who only look are not.
+    let _mixer = l.setup.start();
+    let out = spawn(&l.setup.config(), l.setup.operator.as_deref()).wait_with_output().expect("it ends");
+    assert!(
+        !out.status.success() && String::from_utf8_lossy(&out.stderr).contains("another process owns"),
+        "{out:?}"
+    );
+    let show = Command::new(binary()).args(["ledger", "show"]).arg(&l.dir).output().expect("it runs");
+    let table = String::from_utf8_lossy(&show.stdout).into_owned();
+    assert!(table.contains("acme") && table.contains("40.000"), "40 queries of 500 + 2 * 250 each: {table}");
+}
+
+/// The export is killed at dozens of moments, restarted, killed: who bills takes each name once and has all once.
+#[test]
+fn exports_killed_at_any_moment_bill_every_entry_once() {
+    let l = ledgered("strict");
+    let mut imported: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+    let period = {
+        use std::time::{SystemTime, UNIX_EPOCH};
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis() as i64;
+        Calendar::new("Asia/Taipei").expect("a zone").period(now).to_string()
+    };
+    let import = |imported: &mut BTreeMap<String, Vec<u8>>| {
+        for file in std::fs::read_dir(&l.dir).expect("a directory").map_while(Result::ok) {
+            let name = file.file_name().into_string().expect("text");
+            if name.ends_with(".csv") {
+                let bytes = std::fs::read(file.path()).expect("read");
+                assert_eq!(
+                    *imported.entry(name.clone()).or_insert_with(|| bytes.clone()),
+                    bytes,
+                    "{name} changed"
+                );
+            }
+        }
+    };
+    let mut killed = 0;
+    for round in 0..6 {
+        rounds(&l, &[80 + 20 * round]);
+        for step in 0..8u64 {
+            let mut export = Command::new(binary())
+                .args(["ledger", "export", l.dir.to_str().expect("text"), &period])
+                .stdout(Stdio::null())
+                .stderr(Stdio::null())
+                .spawn()
+                .expect("it runs");
+            thread::sleep(Duration::from_micros(3100 * step + 311 * round));
+            killed += u32::from(export.try_wait().expect("waited").is_none());
+            let _ = export.kill();
+            export.wait().expect("it ended");
+            import(&mut imported);
+        }
+    }
+    let last =
+        Command::new(binary()).args(["ledger", "export"]).arg(&l.dir).arg(&period).output().expect("it runs");
+    assert!(last.status.success(), "{last:?}");
+    import(&mut imported);
+    let (entries, _) = entries(&l.dir);
+    let rows = imported
+        .values()
+        .flat_map(|b| String::from_utf8_lossy(b).lines().skip(1).map(str::to_owned).collect::<Vec<_>>());
+    let mut billed: Vec<String> = rows.map(|r| r.split(',').nth(6).expect("a query").to_owned()).collect();
+    billed.sort();
+    let mut wanted: Vec<String> = entries.iter().map(|e| e.query.clone()).collect();
+    wanted.sort();
+    println!("{killed} of 48 exports killed, {} exports, {} entries", imported.len(), wanted.len());
+    assert_eq!(billed, wanted);
+    assert!(killed >= 6, "{killed} kills came in time");
+    let verify = Command::new(binary()).args(["ledger", "verify"]).arg(&l.dir).output().expect("it runs");
+    assert!(verify.status.success(), "{verify:?}");
+}
