--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -75,7 +75,10 @@
     let specifics = facts.get("specifics");
     let per_class = |name: &str, i: usize| -> Result<f64, FieldError> {
         let field = specifics.get(name);
-        field.entries()?.get(i).ok_or_else(|| field.wrong("has no figure for every class"))?.number()
+        match field.entries()?.get(i) {
+            Some(figure) => figure.number(),
+            None => field.or(field.wrong("has no figure for every class"), 0.0),
+        }
     };
     let mut classes = Vec::new();
     for (i, c) in facts.get("categories").entries()?.iter().enumerate() {
@@ -90,7 +93,7 @@
                 "retryable" => Effect::Safe,
                 "dedup" => Effect::Keyed { window: c.get("windowMs").number_or(0.0)? },
                 "fragile" => Effect::Unsafe,
-                other => return Err(effect.wrong(format!("knows no effect {other:?}"))),
+                other => effect.or(effect.wrong(format!("knows no effect {other:?}")), Effect::Safe)?,
             },
             need: per_class("completeFrom", i)?,
             floor: per_class("floorByClass", i)?,
@@ -129,7 +132,7 @@
             "inline" => Reporting::Inline,
             "on_probe" => Reporting::OnProbe,
             "off" => Reporting::Off,
-            other => return Err(how.wrong(format!("knows no way of reporting {other:?}"))),
+            other => how.or(how.wrong(format!("knows no way of reporting {other:?}")), Reporting::Off)?,
         },
         probes: limits.get("probes").flag()?,
         cancel: limits.get("cancel").flag()?,
@@ -143,7 +146,7 @@
         discovery_on_request: match discovery.text()? {
             "pushed" => false,
             "on_request" => true,
-            other => return Err(discovery.wrong(format!("knows no discovery {other:?}"))),
+            other => discovery.or(discovery.wrong(format!("knows no discovery {other:?}")), false)?,
         },
         ask_within: rules.get("mustAskInMs").number_or(0.0)?,
         cold_share: rules.get("coldShare").number_or(1.0)?,
@@ -198,7 +201,7 @@
             "Ready" => NodeState::Ready,
             "Terminating" => NodeState::Draining,
             "Gone" => NodeState::Gone,
-            other => return Err(state.wrong(format!("knows no state {other:?}"))),
+            other => state.or(state.wrong(format!("knows no state {other:?}")), NodeState::Gone)?,
         },
         started_unix: row.get("startedAtMs").number_or(0.0)?,
     })
@@ -297,32 +300,13 @@
         let Ok(value) = miniserde::json::from_str::<Value>(&text) else {
             return vec![ConfigError::Malformed(file, "is not JSON".to_owned())];
         };
-        let root = Field::root(&value);
-        let mut found: Vec<FieldError> = Vec::new();
-        for name in ["name", "discovery"] {
-            found.extend(root.get(name).text().err());
-        }
-        let listen = root.get("listen");
-        found.extend(match listen.text().map(str::parse::<SocketAddr>) {
-            Err(e) => Some(e),
-            Ok(Err(_)) => Some(listen.wrong("is no address and port")),
-            Ok(Ok(_)) => None,
-        });
-        let seed = root.get("seed");
-        found.extend(match seed.text().map(|s| u64::from_str_radix(s, 16)) {
-            Err(e) => Some(e),
-            Ok(Err(_)) => Some(seed.wrong("is no hex number")),
-            Ok(Ok(_)) => None,
-        });
-        found.extend(root.get("limits").get("sockets").number_or(1024.0).err());
-        if let Some(known) = root.get("known").present() {
-            found.extend(known.get("generation").count().err());
-            match known.get("instances").entries() {
-                Ok(rows) => found.extend(rows.iter().filter_map(|row| node_entry(row).err())),
-                Err(e) => found.push(e),
-            }
+        let (root, errors) = Field::collecting(&value);
+        let ended = Self::from_json(&root, |_| None).err();
+        let mut found = errors.take();
+        // What the figures say together is judged only once each of them is right.
+        if found.is_empty() {
+            found.extend(ended);
         }
-        found.extend(settings(&root.get("settings")).err());
         found.into_iter().map(|e| ConfigError::Field(file.clone(), e)).collect()
     }
 
@@ -344,9 +328,16 @@
         let seed = root.get("seed");
         Ok(Config {
             name: told("RELAY_NAME", "name")?.0,
-            listen: listen.parse().map_err(|_| listen_field.wrong("is no address and port"))?,
+            listen: match listen.parse() {
+                Ok(listen) => listen,
+                Err(_) => listen_field
+                    .or(listen_field.wrong("is no address and port"), ([127, 0, 0, 1], 0).into())?,
+            },
             discovery: told("RELAY_DISCOVERY", "discovery")?.0.into(),
-            seed: u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("is no hex number"))?,
+            seed: match u64::from_str_radix(seed.text()?, 16) {
+                Ok(number) => number,
+                Err(_) => seed.or(seed.wrong("is no hex number"), 0)?,
+            },
             sockets: root.get("limits").get("sockets").number_or(1024.0)? as usize,
             known: match root.get("known").present() {
                 Some(list) => NodeList { complete: true, ..node_list(&list)? },
--- a/src/json.rs
+++ b/src/json.rs
@@ -1,7 +1,9 @@
 //! JSON read by miniserde into a tree, from which the few values used are taken by name; an error says where.
 
 use miniserde::json::{Number, Value};
+use std::cell::RefCell;
 use std::fmt;
+use std::rc::Rc;
 
 /// What is wrong with a field, and which one it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,12 +27,33 @@
 pub struct Field<'a> {
     path: String,
     value: Option<&'a Value>,
+    /// Where errors are collected; without it the first one ends the reading.
+    errors: Option<Rc<RefCell<Vec<FieldError>>>>,
 }
 
 impl<'a> Field<'a> {
     /// The whole text.
     pub fn root(value: &'a Value) -> Self {
-        Field { path: String::new(), value: Some(value) }
+        Field { path: String::new(), value: Some(value), errors: None }
+    }
+
+    /// The whole text, of which everything is read: what is wrong is collected, and a value of no meaning taken.
+    pub fn collecting(value: &'a Value) -> (Self, Rc<RefCell<Vec<FieldError>>>) {
+        let errors = Rc::new(RefCell::new(Vec::new()));
+        (Field { path: String::new(), value: Some(value), errors: Some(errors.clone()) }, errors)
+    }
+
+    /// An error ends the reading, unless errors are collected: then it goes on with another value.
+    ///
+    /// # Errors
+    /// The error itself.
+    pub fn or<T>(&self, error: FieldError, instead: T) -> Result<T, FieldError> {
+        let Some(errors) = &self.errors else { return Err(error) };
+        let mut errors = errors.borrow_mut();
+        if !errors.iter().any(|e| e.field == error.field) {
+            errors.push(error);
+        }
+        Ok(instead)
     }
 
     /// The field of that name.
@@ -40,7 +63,7 @@
             Some(Value::Object(o)) => o.get(name),
             _ => None,
         };
-        Field { path, value }
+        Field { path, value, errors: self.errors.clone() }
     }
 
     /// The field itself where it is there and not null.
@@ -57,7 +80,7 @@
     pub fn text(&self) -> Result<&'a str, FieldError> {
         match self.value {
             Some(Value::String(s)) => Ok(s),
-            _ => Err(self.expected("a text")),
+            _ => self.or(self.expected("a text"), ""),
         }
     }
 
@@ -67,7 +90,7 @@
             Some(Value::Number(Number::U64(n))) => Ok(*n as f64),
             Some(Value::Number(Number::I64(n))) => Ok(*n as f64),
             Some(Value::Number(Number::F64(n))) if n.is_finite() => Ok(*n),
-            _ => Err(self.expected("a number")),
+            _ => self.or(self.expected("a number"), 0.0),
         }
     }
 
@@ -82,27 +105,32 @@
         if n >= 0.0 && n.fract() == 0.0 && n <= u64::MAX as f64 {
             Ok(if let Some(Value::Number(Number::U64(exact))) = self.value { *exact } else { n as u64 })
         } else {
-            Err(self.expected("a whole number, 0 or above"))
+            self.or(self.expected("a whole number, 0 or above"), 0)
         }
     }
 
     /// Its whole number as `u32`.
     pub fn small(&self) -> Result<u32, FieldError> {
-        u32::try_from(self.count()?).map_err(|_| self.wrong("is too large"))
+        let count = self.count()?;
+        u32::try_from(count).or_else(|_| self.or(self.wrong("is too large"), 0))
     }
 
     /// Its truth value.
     pub fn flag(&self) -> Result<bool, FieldError> {
         match self.value {
             Some(Value::Bool(b)) => Ok(*b),
-            _ => Err(self.expected("true or false")),
+            _ => self.or(self.expected("true or false"), false),
         }
     }
 
     /// Its entries.
     pub fn entries(&self) -> Result<Vec<Field<'a>>, FieldError> {
-        let Some(Value::Array(all)) = self.value else { return Err(self.expected("a list")) };
-        let entry = |(i, v)| Field { path: format!("{}[{i}]", self.path), value: Some(v) };
+        let Some(Value::Array(all)) = self.value else { return self.or(self.expected("a list"), Vec::new()) };
+        let entry = |(i, v)| Field {
+            path: format!("{}[{i}]", self.path),
+            value: Some(v),
+            errors: self.errors.clone(),
+        };
         Ok(all.iter().enumerate().map(entry).collect())
     }
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::sync::Arc;
 use tracing::level_filters::LevelFilter;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -50,6 +50,18 @@
             confirmed,
             "list taken"
         ),
+        // On the platform these come all the time.
+        Notice::Told { generation, complete, nodes, difference: d } => debug!(
+            generation,
+            complete,
+            nodes,
+            added = d.added,
+            gone = d.gone,
+            drained = d.drained,
+            readied = d.readied,
+            changed = d.changed,
+            "discovery's list taken"
+        ),
         Notice::Held { source, digest, reason, difference: d } => warn!(
             file = file(source),
             digest = &**digest,
--- a/src/membership/history.rs
+++ b/src/membership/history.rs
@@ -87,8 +87,13 @@
         }
     }
 
+    /// The number of the latest version.
+    pub fn latest(&self) -> Option<u64> {
+        self.versions.back().map(|v| v.number)
+    }
+
     /// The versions that are remembered, oldest first.
-    pub fn versions(&self) -> impl Iterator<Item = &Version> {
+    pub fn versions(&self) -> impl DoubleEndedIterator<Item = &Version> {
         self.versions.iter()
     }
 
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -62,6 +62,17 @@
         /// It was held back before.
         confirmed: bool,
     },
+    /// What discovery said has taken effect.
+    Told {
+        /// Its version.
+        generation: u64,
+        /// A whole list.
+        complete: bool,
+        /// Nodes there are now.
+        nodes: usize,
+        /// What it changed.
+        difference: Difference,
+    },
     /// A list is held back; its drains have taken effect.
     Held {
         /// Whose.
@@ -274,7 +285,15 @@
                 self.told.insert(entry.name.clone(), (true, entry.clone()));
             }
         }
+        let before = self.history.latest();
         let entries = self.apply(now, SourceId::Discovery, names, out);
+        let changes = self.history.versions().next_back().filter(|v| Some(v.number) != before);
+        out.push(Output::Notice(Notice::Told {
+            generation: list.generation,
+            complete: list.complete,
+            nodes: self.effective.len(),
+            difference: changes.map(|v| Difference::of(v.changes.values())).unwrap_or_default(),
+        }));
         if self.files.is_empty() {
             // Discovery alone is passed on in its own words.
             out.push(Output::List(list));
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -129,6 +129,7 @@
         .config()
         .replace("8c1f30d27a5be964", "no hex")
         .replace("\"127.0.0.1:0\"", "\"nowhere\"");
+    let config = config.replace("\"maxAttempts\":3", "\"maxAttempts\":\"x\"").replace("retryable", "later");
     fs::write(dir.join("config.json"), config).expect("written");
     fs::write(dir.join("n.csv"), "name,host,port,cell\na,h,0,0\nb,h,2,x\n").expect("written");
     let operator = "flight:\n  listen: here\nlog: {level: loud, colour: true}\ninventory:\n  poll_ms: 5\n  files:\n    - path: n.csv\n      fields: {adress: X}\n      delimiter: ';;'\n";
@@ -140,6 +141,8 @@
     for wanted in [
         "config.json: field listen: is no address and port",
         "config.json: field seed: is no hex number",
+        "config.json: field settings.limits.maxAttempts: is something else, must be a number",
+        "config.json: field settings.categories[0].effect: knows no effect",
         "bad.yaml:2: flight.listen: is no address and port",
         "bad.yaml:3: log.level: must be one of error, warn",
         "bad.yaml:3: log.colour: is unknown; there are format, level",
--- a/tests/inventory_load.rs
+++ b/tests/inventory_load.rs
@@ -94,6 +94,29 @@
     assert_eq!(lost.count(), 0, "{:#?}", mixer.log());
 }
 
+/// A path that leads in a circle cannot be read by anybody, and one without rights by none but root.
+#[test]
+fn a_file_that_cannot_be_read_for_a_while_keeps_the_last_list() {
+    use std::os::unix::fs::{PermissionsExt, symlink};
+    let mut run = Run::start(Way::Rename, "n.csv", 6, 2, "");
+    let path = run.writer.path();
+    let rights = |mode| fs::set_permissions(&path, fs::Permissions::from_mode(mode)).expect("set");
+    fs::remove_file(&path).expect("removed");
+    symlink(&path, &path).expect("linked");
+    assert!(run.mixer.told_anew("the old list stands").contains("n.csv"));
+    fs::remove_file(&path).expect("removed");
+    fs::write(&path, run.text()).expect("written");
+    rights(0);
+    if fs::read(&path).is_err() {
+        assert!(run.mixer.told_anew("the old list stands").contains("n.csv"));
+    }
+    rights(0o644);
+    let took = run.drain("s03");
+    assert!(took < Duration::from_secs(1), "{took:?}");
+    sleep(Duration::from_millis(1100));
+    run.finish();
+}
+
 /// A version each 50 ms, two of three of them broken; in the middle a drain.
 #[test]
 fn a_drain_in_the_middle_of_a_storm_of_broken_files() {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -204,7 +204,7 @@
     let mut rig = Rig::new(Some(NodeList { complete: true, ..NodeList::default() }), vec![]);
     let out = rig.feed(1.0, Input::Discovery(words.clone()));
     assert!(
-        matches!(out, [Output::List(l)] if l.complete && l.generation == 9 && l.entries == words.entries)
+        matches!(out, [Output::Notice(Notice::Told { .. }), Output::List(l)] if l.complete && l.generation == 9 && l.entries == words.entries)
     );
 }
 
