Let the mixer that owns a ledger do its commands, and count use by tenant on /metrics

Change: a command that finds the ledger owned leaves a request file, which the owner does within 250 ms and answers by another file; a correction has a name, so that one met again after a crash is made once.

Measured: the machine stopped at each step of three requests by kill and two kinds of power cut: each done once.

--- a/src/cli/ledger.rs
+++ b/src/cli/ledger.rs
@@ -1,16 +1,22 @@
 //! `sailmux ledger`: show, verify, tail, reconcile look at ledgers that a mixer may be writing; correct, close and export
-//! write, so they need one that no process owns.
+//! have it done by whoever owns the ledger: the mixer, or this process if there is none.
 
 use super::{Failure, say};
 use crate::ledger::{
-    Book, Calendar, Correction, Format, Ledger, Options, Period, RealDisk, Record, Share, Store, Sums,
-    Totals, UnixMs, read_all, reconcile,
+    Book, Calendar, Correction, Format, Ledger, Options, Period, RealDisk, Record, Request, Share, Store,
+    Sums, Totals, UnixMs, read_all, reconcile, reply_name, request_name,
 };
 use clap::ValueEnum;
 use jiff::Timestamp;
 use serde_json::{Value, json};
+use std::fs;
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The owner of a ledger looks for requests several times a second.
+const PATIENCE: Duration = Duration::from_secs(30);
 
 #[derive(clap::Subcommand)]
 pub(super) enum Command {
@@ -141,16 +147,55 @@
         Ok(read_all(&RealDisk::look(&self.dir), &calendar, &mut each)?)
     }
 
-    /// The ledger for writing, under the name of the mixer whose it is.
-    fn own(&self) -> Result<Store<RealDisk>, Failure> {
+    /// Has a request done: here, or by the mixer that owns the ledger.
+    fn ask(&self, request: Request) -> Result<(), Failure> {
         let mixer = self.read(|_, _, _| {})?.position().1.to_owned();
-        let disk = RealDisk::own(&self.dir)?;
+        let disk = match RealDisk::own(&self.dir) {
+            Ok(disk) => disk,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return self.leave(&request),
+            Err(e) => return Err(e.into()),
+        };
         // Nothing of a command is lost: each record is synced before it is told.
         let options = Options { window: 0, ..Options::default() };
-        Ok(Store::open(disk, calendar(&self.time_zone)?, options, &mixer, now())?.0)
+        let mut store = Store::open(disk, calendar(&self.time_zone)?, options, &mixer, now())?.0;
+        let done = store.perform(request, now());
+        store.end(now())?;
+        say(&format!("{}\n", done?))
+    }
+
+    /// Leaves a request for the owner, and waits for its reply.
+    fn leave(&self, request: &Request) -> Result<(), Failure> {
+        let id = fresh_id();
+        let (path, reply) = (self.dir.join(request_name(&id)), self.dir.join(reply_name(&id)));
+        let mut fresh = path.clone().into_os_string();
+        fresh.push(".tmp");
+        fs::write(&fresh, request.to_json())?;
+        fs::rename(&fresh, &path)?;
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Ok(text) = fs::read_to_string(&reply) {
+                fs::remove_file(&reply)?;
+                let value: Value = serde_json::from_str(&text)?;
+                return match value["done"].as_str() {
+                    Some(words) => say(&format!("{words}\n")),
+                    None => {
+                        Err(Failure::Problems(vec![value["refused"].as_str().unwrap_or_default().to_owned()]))
+                    }
+                };
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let problem = format!("{}: no reply in {PATIENCE:?}; the request stays there", path.display());
+        Err(Failure::Problems(vec![problem]))
     }
 }
 
+/// A name that no other request has.
+fn fresh_id() -> String {
+    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos());
+    format!("{nanos:x}-{:x}", std::process::id())
+}
+
 impl Command {
     pub(super) fn run(self) -> Result<(), Failure> {
         match self {
@@ -240,37 +285,31 @@
             Command::Correct { at, tenant, class, corrects, queries, parts, work, beyond, by, why } => {
                 let share = if beyond { Share::Beyond } else { Share::Within };
                 let corrects = corrects.to_string();
-                let made =
-                    Correction { at: now(), tenant, class, corrects, share, queries, parts, work, by, why };
-                let mut store = at.own()?;
-                store.correct(made)?;
-                store.end(now())?;
-                let (seq, period, _) = store.book().corrections().last().cloned().ok_or(Failure::Printed)?;
-                say(&format!("correction {seq}, billed in {period}\n"))
-            }
-            Command::Close { at, period } => {
-                let mut store = at.own()?;
-                store.close(period, now())?;
-                store.end(now())?;
-                say(&format!("{period} is closed\n"))
+                let id = fresh_id();
+                let made = Correction {
+                    at: now(),
+                    id,
+                    tenant,
+                    class,
+                    corrects,
+                    share,
+                    queries,
+                    parts,
+                    work,
+                    by,
+                    why,
+                };
+                at.ask(Request::Correct(made))
             }
-            Command::Export { at, period, format } => {
-                let format = match format {
+            Command::Close { at, period } => at.ask(Request::Close(period)),
+            Command::Export { at, period, format } => at.ask(Request::Export(
+                period,
+                match format {
                     Form::Csv => Format::Csv,
                     Form::Jsonl => Format::JsonLines,
                     Form::Arrow => Format::Arrow,
-                };
-                let mut store = at.own()?;
-                let done = store.export(period, format, now())?;
-                store.end(now())?;
-                match done {
-                    Some(done) => {
-                        let path = at.dir.join(format!("{}.{}", done.name, done.format));
-                        say(&format!("{}  sha256 {}\n", path.display(), done.hash.unwrap_or_default()))
-                    }
-                    None => say(&format!("nothing is new in {period} since its last export\n")),
-                }
-            }
+                },
+            )),
             Command::Reconcile { dirs, time_zone, json } => reconciled(dirs, time_zone, json),
         }
     }
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -75,7 +75,7 @@
                 self.reply(client, Reply::Health { ready });
             }
             Event::CountersAsked(client) => {
-                let text = self.state.counters.text();
+                let text = self.state.counters_text();
                 self.reply(client, Reply::Counters(text));
             }
             Event::Connected(conn) => self.connected(conn),
@@ -302,7 +302,8 @@
 
     /// Enters a query's end in the ledger, if one is kept: before its parts are let go of.
     fn enter(&mut self, query: QueryId, outcome: ledger::Outcome) {
-        let State { prices: Some(prices), queries, parts, site, counters, .. } = &mut *self.state else {
+        let State { billing: Some((prices, metrics)), queries, parts, site, counters, .. } = &mut *self.state
+        else {
             return;
         };
         let Some(q) = queries.get(&query) else { return };
@@ -323,6 +324,7 @@
             outcome,
             share: q.share,
         };
+        metrics.count(&entry);
         self.effects.push(Effect::Entry(q.client, entry));
     }
 
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -4,7 +4,7 @@
 use crate::Balancer;
 use crate::api::*;
 use crate::config::SiteSettings;
-use crate::ledger::{PriceList, Share};
+use crate::ledger::{PriceList, Share, TenantMetrics};
 use crate::membership::{GuardSettings, Membership};
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -65,7 +65,7 @@
     pub(super) terminating: Option<Millis>,
     pub(super) exited: bool,
     /// What use costs, where a ledger is kept.
-    pub(super) prices: Option<PriceList>,
+    pub(super) billing: Option<(PriceList, TenantMetrics)>,
 }
 
 /// A point of time that can be sorted; times are never negative or not a number.
@@ -271,13 +271,13 @@
             next_id: 0,
             terminating: None,
             exited: false,
-            prices: None,
+            billing: None,
         })
     }
 
     /// From now on each final answer is entered in a ledger, by these prices.
     pub fn keep_ledger(&mut self, prices: PriceList) {
-        self.prices = Some(prices);
+        self.billing = Some((prices, TenantMetrics::default()));
     }
 
     /// When the core next wants a [`super::Event::Tick`].
@@ -295,6 +295,12 @@
         &self.membership
     }
 
+    /// All counters as text, those by tenant last.
+    pub fn counters_text(&self) -> String {
+        let tenants = self.billing.as_ref().map(|(_, metrics)| metrics.text()).unwrap_or_default();
+        self.counters.text() + &tenants
+    }
+
     /// The counters so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/src/ledger/entry.rs
+++ b/src/ledger/entry.rs
@@ -113,6 +113,8 @@
 pub struct Correction {
     /// When it was made.
     pub at: UnixMs,
+    /// Its own name: the same correction asked for twice is made once.
+    pub id: String,
     /// The tenant whose account it changes.
     pub tenant: String,
     /// The class.
--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -245,7 +245,7 @@
         Record::Correction(c) => {
             into.push(4);
             put_signed(into, c.at);
-            for text in [&c.tenant, &c.class, &c.corrects, &c.by, &c.why] {
+            for text in [&c.id, &c.tenant, &c.class, &c.corrects, &c.by, &c.why] {
                 put_text(into, text);
             }
             into.push(c.share as u8);
@@ -295,6 +295,7 @@
         3 => Record::Gap(Gap { from: f.signed()?, to: f.signed()?, entries: f.number()?, reason: f.text()? }),
         4 => Record::Correction(Correction {
             at: f.signed()?,
+            id: f.text()?,
             tenant: f.text()?,
             class: f.text()?,
             corrects: f.text()?,
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -14,18 +14,22 @@
 mod book;
 mod entry;
 mod export;
+mod metrics;
 mod period;
 mod price;
 mod reconcile;
+mod request;
 mod writer;
 
 pub use book::{Account, Begun, Book, Line, PeriodState, Sums, Totals};
 pub use disk::{Disk, RealDisk};
 pub use entry::{Correction, Entry, Gap, Outcome, Record, Share};
 pub use export::{Export, Format, Manifest, lines, render};
+pub use metrics::TenantMetrics;
 pub use period::{Calendar, Period};
 pub use price::PriceList;
 pub use reconcile::{Ledger, Reconciled, reconcile};
+pub use request::{Request, reply_name, request_name};
 pub use store::{LedgerError, Options, Recovery, Store, read_all};
 pub use writer::{Handle, Intake, Told, Writer, queue};
 
--- a/src/ledger/store.rs
+++ b/src/ledger/store.rs
@@ -191,7 +191,9 @@
     ) -> Result<(Self, Recovery), LedgerError> {
         let found = load(&disk, &calendar, true, |_, _, _| {})?;
         let mut recovery = Recovery { records: found.records, ..Recovery::default() };
-        for name in disk.list()?.iter().filter(|n| n.ends_with(".tmp")) {
+        // A request that is being left is not ours to remove.
+        let ours = |n: &&String| n.ends_with(".tmp") && !n.starts_with("request-");
+        for name in disk.list()?.iter().filter(ours) {
             disk.remove(name)?;
         }
         let (segment, length) = match found.last {
@@ -308,11 +310,8 @@
     fn seal(&mut self) -> Result<(), LedgerError> {
         if !self.segment.is_empty() {
             self.commit()?;
-            let (name, fresh) = (snapshot_name(self.book.seq), "snapshot.tmp");
             let packed = pack(&self.book);
-            self.write_whole(fresh, &packed)?;
-            self.disk.rename(fresh, &name)?;
-            self.disk.sync_names()?;
+            self.place(&snapshot_name(self.book.seq), &packed)?;
         }
         let name = segment_name(self.book.seq + 1);
         // A crash or a failed write may have left one of that name, with nothing in it that was synced.
@@ -330,6 +329,18 @@
         Ok(self.disk.sync(name)?)
     }
 
+    /// Puts a file under its name, whole or not at all.
+    pub(super) fn place(&mut self, name: &str, bytes: &[u8]) -> Result<(), LedgerError> {
+        let fresh = format!("{name}.tmp");
+        self.write_whole(&fresh, bytes)?;
+        self.disk.rename(&fresh, name)?;
+        Ok(self.disk.sync_names()?)
+    }
+
+    pub(super) fn disk_mut(&mut self) -> &mut D {
+        &mut self.disk
+    }
+
     /// Removes sealed segments of which every period is closed and exported, so that the disk stays bounded.
     ///
     /// # Errors
@@ -462,11 +473,8 @@
         let name = format!("{}.{}", begun.name, begun.format);
         for (name, bytes) in [(name, bytes), (format!("{}.manifest.json", begun.name), manifest.into_bytes())]
         {
-            let fresh = format!("{name}.tmp");
-            self.write_whole(&fresh, &bytes)?;
-            self.disk.rename(&fresh, &name)?;
+            self.place(&name, &bytes)?;
         }
-        self.disk.sync_names()?;
         self.append(&[Record::Done { name: begun.name.clone(), hash, at: now }])?;
         self.commit()
     }
--- a/src/ledger/writer.rs
+++ b/src/ledger/writer.rs
@@ -19,6 +19,8 @@
 const AGAIN: Duration = Duration::from_millis(500);
 /// Periods are looked at for closing that often.
 const PERIODS: Duration = Duration::from_secs(10);
+/// Requests that operators left are looked for that often.
+const REQUESTS: Duration = Duration::from_millis(250);
 
 /// An entry and its number, counted by the one who brings it.
 type Numbered = (u64, Record);
@@ -125,10 +127,12 @@
     /// Runs until nobody can bring entries any more; then all that came is committed. `now` reads the wall clock.
     pub fn run(mut self, intake: Intake, now: impl Fn() -> UnixMs) -> Store<D> {
         let mut due: Option<Instant> = None;
-        let mut periods = Instant::now();
+        let (mut periods, mut requests) = (Instant::now(), Instant::now());
         loop {
-            let until =
-                due.or(self.failing.map(|since| since + AGAIN)).unwrap_or_else(|| Instant::now() + PERIODS);
+            let until = due
+                .or(self.failing.map(|since| since + AGAIN))
+                .unwrap_or(requests + REQUESTS)
+                .min(requests + REQUESTS);
             let wait = until.saturating_duration_since(Instant::now());
             let ended = match intake.0.recv_timeout(wait) {
                 Ok(numbered) => {
@@ -155,6 +159,14 @@
                 }
                 return self.store;
             }
+            if requests.elapsed() >= REQUESTS {
+                requests = Instant::now();
+                if self.failing.is_none()
+                    && let Err(e) = self.store.requests(now())
+                {
+                    (self.tell)(Told::Failing(e.to_string()));
+                }
+            }
             if periods.elapsed() >= PERIODS && self.failing.is_none() {
                 periods = Instant::now();
                 self.periods(now());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -149,7 +149,7 @@
             _ = terminate.recv() => Event::Terminate,
             _ = interrupt.recv() => Event::Terminate,
             _ = report.recv() => {
-                eprint!("{}", state.counters().text());
+                eprint!("{}", state.counters_text());
                 continue;
             }
             _ = reload.recv() => match reloaded(&state) {
@@ -180,7 +180,7 @@
     if let Some(keeper) = hub.ledger.take() {
         keeper.end();
     }
-    eprint!("{}", state.counters().text());
+    eprint!("{}", state.counters_text());
     done
 }
 
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -262,6 +262,7 @@
     assert_eq!((sum(&store, "2026-11"), sum(&store, "2026-12")), ((1, 0), (2, 1)));
     let made = |by: &str| Correction {
         at: end + 5000,
+        id: by.to_owned(),
         tenant: "lanyang-law".to_owned(),
         class: "envelope-search".to_owned(),
         corrects: "2026-11".to_owned(),
@@ -326,6 +327,73 @@
     }
 }
 
+/// The machine goes down at each step of doing what was asked for; the next start finds the request or its reply.
+#[test]
+fn requests_that_a_crash_parts_are_done_once() {
+    let ask = |id: &str| {
+        let asked = Correction {
+            at: 0,
+            id: id.to_owned(),
+            tenant: "lanyang-law".to_owned(),
+            class: "envelope-search".to_owned(),
+            corrects: "2026-11".to_owned(),
+            share: Share::Within,
+            queries: -1,
+            parts: -3,
+            work: -3000,
+            by: "billing".to_owned(),
+            why: "a test of ours".to_owned(),
+        };
+        Request::Correct(asked).to_json()
+    };
+    let fresh = || {
+        let disk = FaultyDisk::default();
+        let (mut store, _) = open(&disk, NOVEMBER).expect("new");
+        store.append(&[Record::Entry(entry(1, NOVEMBER))]).expect("written");
+        store.commit().expect("synced");
+        let mut handle = disk.clone();
+        let november: Period = "2026-11".parse().expect("a period");
+        let texts = [ask("c1"), Request::Export(november, Format::Csv).to_json(), "{}".to_owned()];
+        for (i, text) in texts.iter().enumerate() {
+            let name = request_name(&format!("r{i}"));
+            handle.append(&name, text.as_bytes()).expect("left");
+            handle.sync(&name).expect("synced");
+        }
+        handle.sync_names().expect("synced");
+        disk
+    };
+    let work =
+        |disk: &FaultyDisk| open(disk, NOVEMBER).and_then(|(mut store, _)| store.requests(NOVEMBER + 9));
+    let steps = {
+        let disk = fresh();
+        disk.stop_at(usize::MAX);
+        assert_eq!(work(&disk).expect("no fault"), 3);
+        disk.steps()
+    };
+    assert!(steps > 15, "{steps} steps");
+    for stop in 1..=steps {
+        for down in [Down::Kill, Down::Power(0), Down::Power(50)] {
+            let disk = fresh();
+            disk.stop_at(stop);
+            assert!(work(&disk).is_err());
+            let disk = disk.after(down);
+            work(&disk).unwrap_or_else(|e| panic!("{stop} {down:?}: {e}"));
+            let book = read_all(&disk, &calendar(), |_, _, _| {}).expect("whole");
+            assert_eq!(book.corrections().len(), 1, "{stop} {down:?}");
+            assert_eq!(book.exports().len(), 1, "{stop} {down:?}");
+            let names = disk.list().expect("names");
+            assert!(!names.iter().any(|n| n.starts_with("request-")), "{stop} {down:?}: {names:?}");
+            let reply = |i: usize| {
+                String::from_utf8(disk.read(&reply_name(&format!("r{i}"))).expect("there")).expect("text")
+            };
+            assert!(
+                reply(0).contains("billed in 2026-11") && reply(2).contains("refused"),
+                "{stop} {down:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn names_of_unknown_tenants_are_bounded() {
     let mut book = Book::new(calendar());
--- a/tests/ledger_process.rs
+++ b/tests/ledger_process.rs
@@ -163,6 +163,14 @@
             assert_eq!(client.ask(query(&id, "5000m", &[0, 1])).status, 200);
             ids.push(id);
         }
+        let text = client.ask("GET /metrics HTTP/1.1\r\n\r\n").body;
+        let labels = r#"{tenant="acme",class="c",share="within",outcome="whole"}"#;
+        for wanted in [
+            format!("sailmux_tenant_queries_total{labels} 20"),
+            format!("sailmux_tenant_parts_total{labels} 40"),
+        ] {
+            assert!(text.contains(&wanted), "{wanted}: {text}");
+        }
         drop(client);
         mixer.signal("-TERM");
         assert!(mixer.ended().success());
@@ -177,6 +185,31 @@
         !out.status.success() && String::from_utf8_lossy(&out.stderr).contains("another process owns"),
         "{out:?}"
     );
+    // What is to be written is asked of the owner.
+    let ask = |args: &[&str]| {
+        let out = Command::new(binary()).arg("ledger").arg(args[0]).arg(&l.dir).args(&args[1..]).output();
+        let out = out.expect("it runs");
+        (out.status.code(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+    };
+    let made = [
+        "correct",
+        "--tenant",
+        "acme",
+        "--class",
+        "c",
+        "--corrects",
+        "2026-11",
+        "--queries",
+        "-1",
+        "--by",
+        "me",
+    ];
+    let (code, words) = ask(&[&made[..], &["--why", "a test"]].concat());
+    assert!(code == Some(0) && words.starts_with("correction "), "{words}");
+    let (code, words) = ask(&[&made[..], &["--why", " "]].concat());
+    assert!(code == Some(1) && words.contains("by whom and why"), "{words}");
+    let (code, words) = ask(&["close", "2999-01"]);
+    assert!(code == Some(1) && words.contains("2999-01 is not over"), "{words}");
     let show = Command::new(binary()).args(["ledger", "show"]).arg(&l.dir).output().expect("it runs");
     let table = String::from_utf8_lossy(&show.stdout).into_owned();
     assert!(table.contains("acme") && table.contains("40.000"), "40 queries of 500 + 2 * 250 each: {table}");
