--- a/src/cli/ledger.rs
+++ b/src/cli/ledger.rs
@@ -416,5 +416,5 @@
             late.to_string(),
         ]);
     }
-    super::columns(&rows)
+    crate::inventory::columns(&rows)
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -100,17 +100,6 @@
     }
 }
 
-/// Rows as columns for a reader, the first one as their heads.
-fn columns<const N: usize>(rows: &[[String; N]]) -> String {
-    let width = |column: usize| rows.iter().map(|r| r[column].chars().count()).max().unwrap_or(0);
-    let widths: Vec<usize> = (0..N).map(width).collect();
-    let line = |row: &[String; N]| {
-        let cells: String = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}  ")).collect();
-        format!("{}\n", cells.trim_end())
-    };
-    rows.iter().map(line).collect()
-}
-
 fn man() -> Result<(), Failure> {
     let mut text = Vec::new();
     let command = Cli::command();
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -15,7 +15,7 @@
 pub use expand::expand;
 pub use files::{Bundle, BundleFile, Gathered, Role, Seen, Stamp, gather, signature};
 pub use mapping::{Field, Mapping};
-pub use print::{Format as PrintFormat, print};
+pub use print::{Format as PrintFormat, columns, print};
 
 use crate::membership::{FileList, NodeEntry, NodeRecord, NodeState, Place, clashes};
 use crate::problem::{Problem, Problems};
--- a/src/inventory/print.rs
+++ b/src/inventory/print.rs
@@ -60,18 +60,18 @@
 fn table(nodes: &[NodeEntry]) -> String {
     let mut rows = vec![COLUMNS.map(|c| c.to_uppercase())];
     rows.extend(nodes.iter().map(cells));
+    columns(&rows)
+}
+
+/// Rows as columns for a reader, the first one as their heads.
+pub fn columns<const N: usize>(rows: &[[String; N]]) -> String {
     let width = |column: usize| rows.iter().map(|r| r[column].chars().count()).max().unwrap_or(0);
-    let widths: Vec<usize> = (0..COLUMNS.len()).map(width).collect();
-    let mut text = String::new();
-    for row in &rows {
-        let mut line = String::new();
-        for (cell, width) in row.iter().zip(&widths) {
-            let _ = write!(line, "{cell:width$}  ");
-        }
-        text.push_str(line.trim_end());
-        text.push('\n');
-    }
-    text
+    let widths: Vec<usize> = (0..N).map(width).collect();
+    let line = |row: &[String; N]| {
+        let cells: String = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}  ")).collect();
+        format!("{}\n", cells.trim_end())
+    };
+    rows.iter().map(line).collect()
 }
 
 fn csv(nodes: &[NodeEntry]) -> String {
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,7 +1,7 @@
 //! Stand-in index nodes that check the rules from their side, clients that count their answers, and a writer that
 //! changes an inventory in every way that tools do. For load tests of the inventory.
 
-use super::process::{Client, Mixer, Node, Setup, query, scratch};
+use super::process::{Client, Listed, Mixer, Node, Setup, query, scratch};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, OpenOptions};
 use std::io::{Read, Write};
@@ -54,6 +54,18 @@
         Fleet { addresses, book }
     }
 
+    /// The nodes as discovery lists them.
+    pub fn listed(&self) -> Vec<Listed> {
+        let row = |(name, address): (&String, &SocketAddr)| Listed {
+            name: name.clone().leak(),
+            address: address.to_string(),
+            cell: self.cell(name),
+            lifecycle: "Ready",
+            started: 0,
+        };
+        self.addresses.iter().map(row).collect()
+    }
+
     /// From now on the node drains: its drain has just been written.
     pub fn drained(&self, name: &str) {
         self.book.lock().expect("book").drained.insert(name.to_owned(), Instant::now());
