--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -33,6 +33,22 @@
     }
 }
 
+fn correction(id: &str, by: &str, at: UnixMs) -> Correction {
+    Correction {
+        at,
+        id: id.to_owned(),
+        tenant: "lanyang-law".to_owned(),
+        class: "envelope-search".to_owned(),
+        corrects: "2026-11".to_owned(),
+        share: Share::Within,
+        queries: -1,
+        parts: -3,
+        work: -3000,
+        by: by.to_owned(),
+        why: "counted for a test of ours".to_owned(),
+    }
+}
+
 fn small() -> Options {
     Options { segment_bytes: 700, grace: 0, window: 0, export: None }
 }
@@ -260,19 +276,7 @@
     // The clock steps back an hour across the month's end: billed in the open period, marked as late.
     store.append(&[Record::Entry(entry(2, end - 3_600_000))]).expect("written");
     assert_eq!((sum(&store, "2026-11"), sum(&store, "2026-12")), ((1, 0), (2, 1)));
-    let made = |by: &str| Correction {
-        at: end + 5000,
-        id: by.to_owned(),
-        tenant: "lanyang-law".to_owned(),
-        class: "envelope-search".to_owned(),
-        corrects: "2026-11".to_owned(),
-        share: Share::Within,
-        queries: -1,
-        parts: -3,
-        work: -3000,
-        by: by.to_owned(),
-        why: "counted for a test of ours".to_owned(),
-    };
+    let made = |by: &str| correction(by, by, end + 5000);
     assert!(store.correct(made(" ")).is_err(), "by whom?");
     store.correct(made("billing")).expect("corrected");
     assert_eq!(sum(&store, "2026-11"), (1, 0), "a closed period stays as it is");
@@ -331,19 +335,7 @@
 #[test]
 fn requests_that_a_crash_parts_are_done_once() {
     let ask = |id: &str| {
-        let asked = Correction {
-            at: 0,
-            id: id.to_owned(),
-            tenant: "lanyang-law".to_owned(),
-            class: "envelope-search".to_owned(),
-            corrects: "2026-11".to_owned(),
-            share: Share::Within,
-            queries: -1,
-            parts: -3,
-            work: -3000,
-            by: "billing".to_owned(),
-            why: "a test of ours".to_owned(),
-        };
+        let asked = correction(id, "billing", 0);
         Request::Correct(asked).to_json()
     };
     let fresh = || {
