Read load reports by the names in the settings: on sockets every report was lost

Ruled out: stale reports (there was none to be old), a wrong letter (p is sent and answered).

Change: both names are read; counters reports_read and reports_missing show such a loss; the trace level of the operators' log tells what the core was told and did, debug the settings. The test of good answers fails without the names.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -50,6 +50,8 @@
     probes_sent: "Probes sent.",
     probes_answered: "Probes answered.",
     probes_failed: "Probes without a good answer.",
+    reports_read: "Load reports of nodes taken in.",
+    reports_missing: "Good answers to probes without a load report that can be read.",
     connections_dialled: "Connections to nodes begun.",
     connections_up: "Connections to nodes that came up.",
     connections_broken: "Connections to nodes that failed or were ended by the node.",
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -566,6 +566,7 @@
         if let Some(c) = self.state.conns.get_mut(&conn) {
             c.heard = self.now;
         }
+        self.state.counters.reports_read += u64::from(report.is_some());
         let Some(a) =
             self.state.attempts.get(&id).filter(|a| matches!(a.stage, Stage::Handed(on, _) if on == conn))
         else {
@@ -725,6 +726,9 @@
         took: Millis,
         report: Option<LoadReport>,
     ) {
+        let counters = &mut self.state.counters;
+        counters.reports_read += u64::from(report.is_some());
+        counters.reports_missing += u64::from(outcome == Outcome::Ok && report.is_none());
         match outcome {
             Outcome::Ok => self.state.counters.probes_answered += 1,
             _ => self.state.counters.probes_failed += 1,
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -312,7 +312,8 @@
     Ok(Some(input.split_to(length).freeze()))
 }
 
-/// A load report in the form `inflight=7,util=0.61`; names that are unknown are passed over.
+/// A load report in the form `busy_reqs=7,cpu_share=0.61`. Figures go by the names of `report.fields` in the settings,
+/// as on the simulator's wire, or by the protocol page's own short ones; names that are unknown are passed over.
 pub(super) fn load_report(words: &str) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for pair in words.split(',') {
@@ -321,9 +322,9 @@
         let figure = figure.parse::<f64>().ok().filter(|f| (0.0..=LOAD_MOST).contains(f));
         let Some(figure) = figure else { continue };
         match name {
-            "queue" => report.queue = Some(figure),
-            "inflight" => report.inflight = Some(figure),
-            "util" => report.utilization = Some(figure),
+            "pending" | "queue" => report.queue = Some(figure),
+            "busy_reqs" | "inflight" => report.inflight = Some(figure),
+            "cpu_share" | "util" => report.utilization = Some(figure),
             _ => {}
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,7 +26,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
-use tracing::{error, info};
+use tracing::{debug, error, info, trace};
 
 pub use inventory::confirmation_path;
 
@@ -84,6 +84,7 @@
     let mut report = signal(SignalKind::user_defined1())?;
     let mut reload = signal(SignalKind::hangup())?;
     let limits = Limits::of(config.sockets);
+    debug!("{limits:?} {:?}", config.site);
     let inventory = config.operator.inventory;
     let guard = inventory.as_ref().map(|i| i.guard).unwrap_or_default();
     let mut state = State::new(config.site, limits, config.seed, guard).map_err(io::Error::other)?;
@@ -172,7 +173,10 @@
             Event::Broken { conn, .. } => drop(hub.conns.remove(conn)),
             _ => {}
         }
+        // A day can be followed from these two lines: what a mixer was told, and what it did about it.
+        trace!("told {event:?}");
         let effects = reduce(&mut state, clock.now(), event);
+        effects.iter().for_each(|effect| trace!("does {effect:?}"));
         if hub.carry_out(effects) {
             break Ok(());
         }
--- a/tests/mixer.rs
+++ b/tests/mixer.rs
@@ -467,12 +467,15 @@
 /// Noise round a good answer takes nothing from it: not in its report, nor right behind it.
 #[test]
 fn a_good_answer_counts_whatever_comes_with_it() {
-    for (report, behind) in [
-        ("inflight=7, util = what", ""),
-        ("inflight=NaN,queue=-3,util=inf", ""),
-        ("\u{1} \t=,,", ""),
-        ("-", "\u{0}\u{0}\u{0}\u{5}qnoise"),
-        ("-", "\u{7f}noise that names a length"),
+    for (report, behind, read) in [
+        ("inflight=7, util = what", "", 1),
+        // As nodes name them where the settings' `report.fields` does: unread, all choices would be blind.
+        ("served_ps=31.5,busy_reqs=9", "", 1),
+        ("cpu_share=0.5", "", 1),
+        ("inflight=NaN,queue=-3,util=inf", "", 0),
+        ("\u{1} \t=,,", "", 0),
+        ("-", "\u{0}\u{0}\u{0}\u{5}qnoise", 0),
+        ("-", "\u{7f}noise that names a length", 0),
     ] {
         let (a, b) = (Node::new(), Node::new());
         let mixer = with_twins(&a, &b).start();
@@ -490,6 +493,7 @@
         }
         let counters = mixer.counters();
         assert_eq!((counters["attempts_good"], counters["attempts_bad"]), (1, 0), "{report:?} {behind:?}");
+        assert_eq!(counters["reports_read"], read, "{report:?}");
     }
 }
 
