Send no probes where a probe a part costs more than it can gain

At fault: the draw of looks in on_query, which knew no price.

Change: settings carry tariffs.probe; above 0.02 a probe a part no query looks.

--- a/src/api.rs
+++ b/src/api.rs
@@ -134,6 +134,8 @@
     pub retry_budget: Option<RetryBudget>,
     /// Price of an attempt that crosses zones.
     pub cross_zone_price: f64,
+    /// Price of one probe a part, as a share of the whole result.
+    pub probe_price: f64,
     /// This aggregator's zone.
     pub zone: u32,
 }
@@ -181,6 +183,7 @@
             ("cold_share", s.cold_share),
             ("warm_after", s.warm_after),
             ("retry_after", s.retry_after.unwrap_or(0.0)),
+            ("probe_price", s.probe_price),
             ("retry_budget.free", budget.free),
             ("retry_budget.share", budget.share),
             ("retry_budget.window", budget.window),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -158,6 +158,7 @@
             }
         },
         cross_zone_price: facts.get("tariffs").get("crossZone").number_or(0.0)?,
+        probe_price: facts.get("tariffs").get("probe").number_or(0.0)?,
         zone: index_of(&zones, zone),
     };
     module.validate().map_err(|e| facts.wrong(e.to_string()))?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,6 +61,8 @@
 const LOOK_TAIL: f64 = 0.6;
 const LOOK_BAD: f64 = 0.12;
 const LOOK_LEAST: f64 = 0.1;
+/// A probe a part that costs more of the result than this never pays: two a part cost more than they gain.
+const LOOK_WORTH: f64 = 0.02;
 /// Self-imposed extra attempts for each part sent while answers are quick; the share falls to the least as
 /// the typical latency nears this share of the shortest aim, for then all are slow and copies make it worse.
 const EXTRA_SHARE: f64 = 0.2;
@@ -754,7 +756,8 @@
         let aim_at = (self.now + aim).min(last);
         let end_at = if c.late_value > 0.0 { last } else { aim_at };
         let urge = (self.tail / (LOOK_TAIL * self.shortest_aim)).max(self.bad / LOOK_BAD);
-        let looks = self.draw.uniform() < (2.0 * urge - 1.0).max(LOOK_LEAST);
+        let pays = self.set.probe_price <= LOOK_WORTH;
+        let looks = pays && self.draw.uniform() < (2.0 * urge - 1.0).max(LOOK_LEAST);
         let query = Query { looks, class, aim_at, end_at, parts: vec![], second: false, first_whole: false };
         self.queries.insert(id, query);
         self.open += 1;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,6 +49,7 @@
         warm_after: 15_000.0,
         retry_budget: None,
         cross_zone_price: 0.0,
+        probe_price: 0.01,
         zone: 0,
     }
 }
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -62,3 +62,22 @@
     }
     assert!(bad < 20, "the failer won {bad} of 200 parts");
 }
+
+/// A probe whose price is more than a better choice saves is never sent, however bad the times; a cheap one is.
+#[test]
+fn dear_probes_are_not_sent() {
+    for (price, probes) in [(0.01, true), (0.08, false)] {
+        let mut sent = 0;
+        for seed in 0..20 {
+            let mut rig = Rig::new(Settings { probe_price: price, ..settings() }, seed);
+            rig.list(3);
+            for i in 0..20u32 {
+                let now = 1.0 + 50.0 * f64::from(i);
+                let (part, _) = rig.send(now, 0);
+                rig.end(now + 40.0, part, 0, Outcome::Error, 40.0);
+            }
+            sent += rig.probes.len();
+        }
+        assert_eq!(sent > 0, probes, "{sent} probes at a price of {price}");
+    }
+}
