Pace calls to discovery by the size of the fleet, with jitter from the mixer's seed

At fault: net/discovery.rs waited 100 ms after each end, the same at every mixer and after any number of failures. Ruled out: slow answers (each 503 comes within 10 ms) and the list's size.

Change: membership::Pace, sans-IO: waits begin at 10 ms for each mixer told (100 ms at least), double with each failed call to four times that, are drawn from the mixer's seed and end at a bound; the first call after a start is spread the same way. Counter list_calls.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -47,6 +47,7 @@
     attempts_cancelled: "Attempts called off.",
     attempts_not_sent: "Attempts that were over before they left.",
     answers_ignored: "Answers of nodes that nobody waited for any more.",
+    list_calls: "Calls to discovery for its list.",
     probes_sent: "Probes sent.",
     probes_answered: "Probes answered.",
     probes_failed: "Probes without a good answer.",
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -136,6 +136,8 @@
         /// How far the wall clock is ahead of the core's.
         wall_ahead: Millis,
     },
+    /// Discovery is asked for its list.
+    WatchAsked,
     /// The watch of the list has ended or has fallen silent.
     WatchLost,
     /// What the ledger's keeper has to tell.
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -87,6 +87,7 @@
             Event::Broken { conn, why, spoilt } => self.broken(conn, &why, spoilt),
             Event::Nodes { list, wall_ahead } => self.membership(Input::Discovery(list), Some(wall_ahead)),
             Event::Membership { input, wall_ahead } => self.membership(input, Some(wall_ahead)),
+            Event::WatchAsked => self.state.counters.list_calls += 1,
             Event::WatchLost => {
                 self.state.counters.watches_lost += 1;
                 self.news.push_back(api::Event::ListFailed);
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod looks;
 mod merge;
 mod node;
+mod pace;
 mod record;
 mod state;
 
@@ -18,6 +19,7 @@
 pub use looks::{Looks, Opened, Verdict};
 pub use merge::{FieldName, Merged, Origin, Provenance};
 pub use node::{NodeEntry, NodeList, NodeState};
+pub use pace::Pace;
 pub use record::{FileList, NodeRecord, Place, Said, Summary, clashes};
 pub use state::{Input, Membership, Notice, Output, Plan};
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,11 +2,12 @@
 
 use super::chunked::Chunks;
 use super::{Input, ToCore};
+use crate::api::Millis;
 use crate::clock::Clock;
 use crate::config::node_list;
 use crate::core::Event;
 use crate::json::Field;
-use crate::membership::NodeList;
+use crate::membership::{NodeList, Pace};
 use bytes::BytesMut;
 use miniserde::json::Value;
 use std::cell::Cell;
@@ -23,8 +24,6 @@
 const SILENCE: Duration = Duration::from_millis(4500);
 /// The agent is on this machine: a dial that takes longer is lost.
 const DIAL: Duration = Duration::from_secs(1);
-/// Between a watch that ended and the next.
-const AGAIN: Duration = Duration::from_millis(100);
 /// A list is no longer than that: against an answer that never ends a line.
 const LINE_MOST: usize = 4 << 20;
 /// An answer's head is no longer than that.
@@ -32,10 +31,21 @@
 
 /// Watches for as long as the program runs.
 /// The version of the list is kept outside, for a watch at another address that follows this one.
-pub(crate) async fn watch(address: Arc<str>, generation: Rc<Cell<u64>>, to_core: ToCore, clock: Rc<Clock>) {
+pub(crate) async fn watch(
+    address: Arc<str>,
+    generation: Rc<Cell<u64>>,
+    mut pace: Pace,
+    to_core: ToCore,
+    clock: Rc<Clock>,
+) {
     let mut said = String::new();
+    sleep(pace.begin()).await;
     loop {
-        let end = match watch_once(&address, &generation, &to_core, &clock).await {
+        let mut told = false;
+        if to_core.send(Input::Event(Event::WatchAsked)).await.is_err() {
+            return;
+        }
+        let end = match watch_once(&address, &generation, &mut told, &to_core, &clock).await {
             Ok(()) => "the watch has ended".to_owned(),
             Err(e) => e.to_string(),
         };
@@ -46,10 +56,14 @@
         if to_core.send(Input::Event(Event::WatchLost)).await.is_err() {
             return;
         }
-        tokio::time::sleep(AGAIN).await;
+        sleep(pace.again(told)).await;
     }
 }
 
+async fn sleep(wait: Millis) {
+    tokio::time::sleep(Duration::from_secs_f64(wait / 1e3)).await;
+}
+
 fn malformed(what: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
@@ -57,6 +71,7 @@
 async fn watch_once(
     address: &str,
     generation: &Cell<u64>,
+    told: &mut bool,
     to_core: &ToCore,
     clock: &Clock,
 ) -> io::Result<()> {
@@ -92,6 +107,7 @@
             let event = Event::Nodes { list, wall_ahead: clock.wall_ahead() };
             to_core.send(Input::Event(event)).await.map_err(io::Error::other)?;
             generation.set(next);
+            *told = true;
         }
         if ended {
             return Ok(());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,7 +16,7 @@
 use crate::core::{AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, reduce};
 use crate::ledger::Told;
 use crate::logging;
-use crate::membership;
+use crate::membership::{self, Pace};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
@@ -117,7 +117,9 @@
     if let Some(inventory) = inventory {
         inventory::start(inventory, hub.to_core.clone(), (*clock).clone())?;
     }
-    let mut watch = discovers.then(|| Watch::start(config.discovery, &generation, &hub.to_core, &clock));
+    let pace = |state: &State| Pace::new(config.seed, state.site().module.aggregators);
+    let mut watch =
+        discovers.then(|| Watch::start(config.discovery, &generation, pace(&state), &hub.to_core, &clock));
     info!("sailmux {}: serving on {address}", config.name);
     let (stop_flight, stopped) = oneshot::channel();
     if let Some(listen) = config.operator.flight_listen {
@@ -157,7 +159,7 @@
                 Ok(new) => {
                     // Discovery may have moved; a watch that stays is left alone.
                     if watch.as_ref().is_some_and(|w| w.address != new.discovery) {
-                        watch = Some(Watch::start(new.discovery, &generation, &hub.to_core, &clock));
+                        watch = Some(Watch::start(new.discovery, &generation, pace(&state), &hub.to_core, &clock));
                     }
                     info!("sailmux {}: the configuration was read anew", config.name);
                     Event::Settings(Box::new(new.site), Limits::of(new.sockets))
@@ -203,8 +205,15 @@
 }
 
 impl Watch {
-    fn start(address: Arc<str>, generation: &Rc<Cell<u64>>, to_core: &ToCore, clock: &Rc<Clock>) -> Self {
-        let watching = discovery::watch(address.clone(), generation.clone(), to_core.clone(), clock.clone());
+    fn start(
+        address: Arc<str>,
+        generation: &Rc<Cell<u64>>,
+        pace: Pace,
+        to_core: &ToCore,
+        clock: &Rc<Clock>,
+    ) -> Self {
+        let watching =
+            discovery::watch(address.clone(), generation.clone(), pace, to_core.clone(), clock.clone());
         Watch { address, task: tokio::task::spawn_local(watching) }
     }
 }
