Ration cold nodes once: one that is let in by its share competes as any other

Counted twice: 'open' lets a cold node be drawn by its ramp's share of a warm peer's rate, and 'cost' then divided by the ramp again, so that it lost to each warm node without three parts of this mixer's own out, which a mixer of a hundred never has.

Change: the ramp stands in 'open' alone.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -268,7 +268,7 @@
     fn cost(&self, id: ReplicaId) -> f64 {
         let Some(r) = self.replicas.get(&id) else { return f64::INFINITY };
         let slow = (self.slowness(r) / SLOW_TOLERATED).max(1.0);
-        (self.busy(id) + 1.0) * slow * self.mean_weight / (r.weight * self.ramp(r))
+        (self.busy(id) + 1.0) * slow * self.mean_weight / r.weight
     }
 
     /// Two distinct draws, the less busy wins. Where probes tell, the two drawn are asked first, unless their
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,5 +1,9 @@
 //! What a hundred mixers do together, side by side on one clock: each is harmless alone.
 
+mod common;
+
+use common::*;
+use sailmux::api::*;
 use sailmux::membership::Pace;
 use std::collections::BinaryHeap;
 
@@ -70,3 +74,51 @@
         assert!(mixers > 10 || pace.begin() == 0.0);
     }
 }
+
+/// Three warm holders of a shard and one that has just started, met by a hundred mixers that seldom ask: together they
+/// give the cold one its share of what a warm peer serves, from the first second on, and never push it over.
+#[test]
+fn a_hundred_mixers_give_a_cold_node_its_share() {
+    let class = Class { aim: 750.0, deadline: 2000.0, ..class() };
+    let set = Settings {
+        aggregators: MIXERS,
+        cells: 1,
+        width: 1,
+        probe_price: 0.08,
+        cold_share: 0.27,
+        warm_after: 17_000.0,
+        second_copies: false,
+        ..with_class(class)
+    };
+    let began = 10_000.0;
+    let mut sent: Vec<(f64, u32)> = Vec::new();
+    for seed in 0..u64::from(MIXERS) {
+        let mut rig = Rig::new(set.clone(), seed);
+        let warm = (0..3).map(|i| ReplicaEntry { cell: 0, ..entry(i) }).collect();
+        rig.feed(0.0, Event::Replicas { complete: true, entries: warm });
+        let (mut now, mut told) = (1.0 + 5.0 * seed as f64, false);
+        while now < 15_000.0 {
+            // Uneven gaps, half a second in the mean.
+            now += 100.0 + f64::from((seed as u32 * 37 + now as u32) % 800);
+            if now >= began && !told {
+                told = true;
+                rig.change(began, ReplicaEntry { cell: 0, started_at: Some(began), ..entry(3) });
+            }
+            let (part, replica) = rig.send(now, 0);
+            sent.push((now, replica.0));
+            rig.end(now + 30.0, part, 0, Outcome::Ok, 30.0);
+            now += 30.0;
+        }
+    }
+    let count = |from: f64, to: f64, cold: bool| {
+        sent.iter().filter(|(at, id)| (from..to).contains(at) && (*id == 3) == cold).count() as f64
+    };
+    let peer = count(began - 4000.0, began, false) / 4.0 / 3.0;
+    for second in 0..4 {
+        let from = began + 1000.0 * f64::from(second);
+        let share = 0.27 + 0.73 * f64::from(second) / 17.0;
+        let cold = count(from, from + 1000.0, true);
+        assert!(cold >= 0.25 * share * peer, "second {second}: {cold} parts where a warm peer serves {peer}");
+        assert!(cold <= 2.0 * share * peer, "second {second}: {cold} parts where a warm peer serves {peer}");
+    }
+}
