--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -240,6 +240,8 @@
         (Settings { width: 4, ..settings() }, SettingsError::BadLayout),
         (with_class(Class { aim: f64::NAN, ..class() }), SettingsError::BadClass(0)),
         (Settings { tick: -1.0, ..settings() }, SettingsError::BadFigure("tick")),
+        (Settings { probe_price: -0.1, ..settings() }, SettingsError::BadFigure("probe_price")),
+        (Settings { probe_price: f64::NAN, ..settings() }, SettingsError::BadFigure("probe_price")),
     ];
     for (settings, error) in bad {
         assert_eq!(Balancer::new(settings, 0).err(), Some(error));
