Check the counter of calls to discovery in the test of the watch

The test of a watch that ends and is asked for again now compares it with the watches lost; with the counting taken out it fails (0 calls, 2 lost).

--- a/tests/mixer.rs
+++ b/tests/mixer.rs
@@ -332,7 +332,10 @@
     let part = link.part();
     link.answer(&part, "good", "v");
     assert_eq!(client.response().status, 200);
-    assert!(mixer.counters()["watches_lost"] >= 2);
+    let counters = mixer.counters();
+    assert!(counters["watches_lost"] >= 2);
+    // Each watch that was lost had been asked for.
+    assert!(counters["list_calls"] >= counters["watches_lost"], "{counters:?}");
 }
 
 #[test]
