Keep a refusing port bound in tests, so that no mixer gets another's calls to discovery

Every mixer of the tests without a discovery was given a port that had been bound and given back at once; the system may hand it to the next mixer, whose HTTP front then counts the other mixer's 'GET' for the list as malformed (404, src/net/http.rs). Seen in the code and in the failed counts; not caught in the act. The port is now bound, without listening, for as long as the test process runs: it refuses connections as before and nobody else can get it.

Measured: tests/fronts.rs and tests/mixer.rs, 35 tests, pass in 13 s as before.

--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -6,10 +6,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
+use tokio::net::TcpSocket;
 
 /// Longer than anything here takes: a wait that long has failed.
 pub const PATIENCE: Duration = Duration::from_secs(15);
@@ -48,6 +50,18 @@
     format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, rows.join(","))
 }
 
+/// An address that refuses connections as long as this process runs: bound, and never listened at. A port that was
+/// only given back goes to the next mixer here, which would then count calls that were meant for discovery.
+pub fn nobody() -> SocketAddr {
+    static HELD: OnceLock<TcpSocket> = OnceLock::new();
+    let bind = || {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        socket
+    };
+    HELD.get_or_init(bind).local_addr().expect("bound")
+}
+
 /// What a mixer is started with.
 pub struct Setup {
     pub known: String,
@@ -62,11 +76,9 @@
 
 impl Setup {
     pub fn new(nodes: &[Listed]) -> Self {
-        // Nobody listens at a port that has just been given back.
-        let nobody = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
         Setup {
             known: list(1, true, nodes),
-            discovery: nobody.to_string(),
+            discovery: nobody().to_string(),
             max_attempts: 3,
             hard_limit_ms: 10_000,
             keepalive_ms: 30_000,
