Believe load reports as far as they foretold how long answers took

The lines at fault: busy() in src/logic.rs took every report as it came in for the truth of that moment.

Change: busy() takes the reported queue times the slope of a line fitted to about the last thousand answers (Fit in src/state.rs), between 0 and 1, believed in full until reports have varied.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,6 +50,10 @@
 const ZONE_TIE: f64 = 1.2;
 /// Beyond this share of its cores in use a server's queue can't be told from it.
 const USED_MOST: f64 = 0.9;
+/// What reports foretold is judged over so many answers; they are believed until they have varied by this much,
+/// squared.
+const TOLD_ANSWERS: f64 = 1024.0;
+const TOLD_FIRST: f64 = 8.0;
 /// A report is fresh for this many typical latencies: few rounds of parts have begun since.
 const FRESH: f64 = 2.0;
 /// A probe is waited for this many times as long as three in four take, and at most this share of the typical
@@ -255,14 +259,24 @@
     // ---- Pick -----------------------------------------------------------------------------------------
 
     /// Busyness: own calls out, parts that failed lately, and the reported queue, fading with its age to the
-    /// mean of the others, so that a frozen or false report cannot rule for long.
+    /// mean of the others, so that a frozen or false report cannot rule for long; it counts as far as reports
+    /// have foretold lately how long answers take.
     fn busy(&self, id: ReplicaId) -> f64 {
         let Some(r) = self.replicas.get(&id) else { return 0.0 };
+        r.calls.len() as f64 + self.faded(r).0 + self.trust() * self.reported(r)
+    }
+
+    fn reported(&self, r: &Replica) -> f64 {
         let mean = self.reports.without(r.report.filter(|_| r.up).map(|r| r.0));
-        let reported = r.report.map_or(mean, |(v, at)| {
+        r.report.map_or(mean, |(v, at)| {
             mean + (v - mean) * (-(self.now - at) / (REPORT_FADE * self.typical)).exp()
-        });
-        r.calls.len() as f64 + self.faded(r).0 + reported
+        })
+    }
+
+    /// How far reports are believed: as far as answers took longer where more was told, part for part. Stops
+    /// reports that are older than the work they count, which come in fresh and tell a queue that has gone.
+    fn trust(&self) -> f64 {
+        self.foretold.slope(TOLD_FIRST).clamp(0.0, 1.0)
     }
 
     fn cost(&self, id: ReplicaId) -> f64 {
@@ -372,6 +386,7 @@
 
     fn send(&mut self, part: PartId, replica: ReplicaId, actions: &mut Vec<Action>) {
         let busy = self.busy(replica);
+        let told = self.replicas.get(&replica).map_or(0.0, |r| self.reported(r));
         let Some(p) = self.parts.get_mut(&part) else { return };
         let Some(q) = self.queries.get(&p.query) else { return };
         let Some(r) = self.replicas.get_mut(&replica) else { return };
@@ -391,7 +406,7 @@
             true => self.sent.add(self.now, 1),
             false => self.extras.add(self.now, 1),
         }
-        p.attempts.push(Attempt { replica, sent: self.now, call, busy, end: None, worked: true });
+        p.attempts.push(Attempt { replica, sent: self.now, call, busy, told, end: None, worked: true });
         actions.push(Action::Send { part, replica, timeout });
     }
 
@@ -564,7 +579,8 @@
         let Some(p) = self.parts.get_mut(&id) else { return };
         let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.end.is_none()) else { return };
         a.end = Some(outcome);
-        let (replica, call, busy, clean) = (a.replica, a.call, a.busy, a.sent >= self.woke);
+        let (replica, call, clean) = (a.replica, a.call, a.sent >= self.woke);
+        let (busy, told) = (a.busy, a.told);
         let took = sane(took, self.now - a.sent).max(0.0);
         a.worked = !never_ran(outcome) && (outcome != Outcome::Error || took >= at_once);
         let (query, over, shard) = (p.query, p.over, p.shard);
@@ -580,6 +596,10 @@
         let answered = p.ok;
         let own = self.replicas.get_mut(&replica).map_or(0, |r| r.unbook(call)) as f64;
         self.judge(replica, outcome, took, busy, clean);
+        if clean && told != 0.0 && outcome == Outcome::Ok {
+            let longer = took / self.unit - busy - 1.0 + self.trust() * told;
+            self.foretold.add(told, longer.clamp(-SLOW_MAX, SLOW_MAX), TOLD_ANSWERS);
+        }
         if came {
             self.record(shard, self.queries.get(&query).is_some_and(|q| self.now <= q.aim_at));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,9 @@
     /// Share of recent attempts that ended badly.
     pub(crate) bad: f64,
     pub(crate) reports: Mean,
+    /// How much longer answers took than what was known otherwise had them take, in parts, by what reports
+    /// had told.
+    pub(crate) foretold: Fit,
     pub(crate) watching: bool,
     pub(crate) asked: bool,
     pub(crate) watch_at: f64,
@@ -96,6 +99,7 @@
             waiting: Vec::new(),
             bad: 0.0,
             reports: Mean::default(),
+            foretold: Fit::default(),
             watching: false,
             asked: false,
             watch_at: 0.0,
@@ -231,6 +235,8 @@
     pub sent: f64,
     pub call: u64,
     pub busy: f64,
+    /// What reports had told of the replica.
+    pub told: f64,
     pub end: Option<Outcome>,
     /// It may have cost a server work.
     pub worked: bool,
@@ -428,6 +434,38 @@
     }
 }
 
+/// A line fitted to recent pairs of figures.
+#[derive(Default)]
+pub struct Fit {
+    count: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Fit {
+    /// One more pair, of which about as many as told count.
+    pub fn add(&mut self, x: f64, y: f64, recent: f64) {
+        let keep = 1.0 - 1.0 / recent;
+        for (sum, new) in [
+            (&mut self.count, 1.0),
+            (&mut self.x, x),
+            (&mut self.y, y),
+            (&mut self.xx, x * x),
+            (&mut self.xy, x * y),
+        ] {
+            *sum = keep * *sum + new;
+        }
+    }
+    /// How much the second figure grows with the first; taken as 1 until the first has varied by this much.
+    pub fn slope(&self, prior: f64) -> f64 {
+        let count = self.count.max(1.0);
+        let (varied, together) = (self.xx - self.x * self.x / count, self.xy - self.x * self.y / count);
+        (together + prior) / (varied.max(0.0) + prior)
+    }
+}
+
 /// Counts over sliding windows.
 #[derive(Default)]
 pub struct Window(VecDeque<(f64, f64)>);
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -81,3 +81,39 @@
         assert_eq!(sent > 0, probes, "{sent} probes at a price of {price}");
     }
 }
+
+/// Reports that are older than the work they count tell nothing of the next part: they must not choose. Those that
+/// foretell how long answers take must.
+#[test]
+fn reports_count_as_far_as_they_foretell() {
+    for tells in [false, true] {
+        let mut rig = Rig::new(Settings { cells: 2, width: 2, ..settings() }, 7);
+        rig.list(2);
+        let mut random = 88172645463325252u64;
+        let mut split = 0;
+        for i in 0..3000u32 {
+            let now = 1.0 + 100.0 * f64::from(i);
+            let queues = [(); 2].map(|()| {
+                random ^= random << 13;
+                random ^= random >> 7;
+                random ^= random << 17;
+                (random % 9) as f64
+            });
+            (0..).zip(queues).for_each(|(replica, queue)| rig.report(now, replica, queue));
+            // The second part finds the first one out.
+            let parts = [1.0, 2.0].map(|after| rig.send(now + after, 0));
+            split += u32::from(i >= 2000 && parts[0].1 != parts[1].1);
+            for (part, replica) in parts {
+                let took = if tells { 10.0 * (1.0 + queues[replica.0 as usize]) } else { 20.0 };
+                rig.end(now + 2.0 + took, part, 0, Outcome::Ok, took);
+            }
+            rig.actions.clear();
+        }
+        assert_eq!(
+            tells,
+            split < 700,
+            "reports that tell: {tells}, parts on both nodes {split} of 1000 times"
+        );
+        assert!(tells || split > 900, "{split} of 1000");
+    }
+}
