--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,7 +50,7 @@
 const ZONE_TIE: f64 = 1.2;
 /// Beyond this share of its cores in use a server's queue can't be told from it.
 const USED_MOST: f64 = 0.9;
-/// What reports foretold is judged over so many answers; they are believed until they have varied by this much,
+/// What reports foretold is judged over so many answers; they are believed until they have varied by so much,
 /// squared.
 const TOLD_ANSWERS: f64 = 1024.0;
 const TOLD_FIRST: f64 = 8.0;
