Test the counters of failed dials and cold parts, and hold a refusing port in one place

Cause: read over once more, connections_failed had no test, attempts_cold one that asked for 0 alone, and nobody() of the tests did what a test of tests/mixer.rs did already by itself. The loop that answers parts had no end.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -5,7 +5,7 @@
 use common::process::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One part asked for and answered by a node.
 fn served(mixer: &Mixer, node: &Node, id: &str, shard: u32) -> Link {
@@ -18,6 +18,22 @@
     link
 }
 
+/// Answers the next part that comes to any of some nodes, and all probes until then.
+fn answer_next(nodes: &[&Node], links: &mut Vec<Link>, load: &str) {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        links.extend(nodes.iter().filter_map(|n| n.try_accept()));
+        for link in links.iter_mut().filter(|l| l.has_frame()) {
+            match link.frame().expect("whole") {
+                ('p', _) => link.put('p', load),
+                (_, rest) => return link.answer(rest.split(' ').next().expect("an id"), "good", "v"),
+            }
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("no part comes");
+}
+
 /// The mixer's next call, its request read, with no answer yet.
 fn called(discovery: &Discovery) -> TcpStream {
     let mut stream = discovery.accept_raw();
@@ -103,6 +119,33 @@
     assert_eq!(mixer.counters()["attempts_cold"], 0);
 }
 
+/// A node that starts beside a warm one is given parts by its share, and those are counted.
+#[test]
+fn parts_to_cold_nodes_are_counted() {
+    let (warm, cold) = (Node::new(), Node::new());
+    let discovery = Discovery::new();
+    let known = Setup::new(&[listed("warm", warm.address, 0)]);
+    let mixer = Setup { discovery: discovery.address(), ..known }.start();
+    let mut watch = discovery.accept();
+    let mut client = Client::connect(mixer.address);
+    let mut links = Vec::new();
+    let end = Instant::now() + PATIENCE;
+    for i in 0.. {
+        if i == 20 {
+            assert_eq!(mixer.counters()["attempts_cold"], 0, "all were warm");
+            watch.tell(&list(2, false, &[listed("cold", cold.address, 0)]));
+            mixer.wait_for("lists_taken", 2);
+        }
+        client.send(query(&format!("q{i}"), "9000m", &[0]));
+        answer_next(&[&warm, &cold], &mut links, "-");
+        assert_eq!(client.response().status, 200);
+        if mixer.counters()["attempts_cold"] > 0 {
+            break;
+        }
+        assert!(Instant::now() < end, "none of {i} parts went to the cold node");
+    }
+}
+
 /// Nodes that answer probes with what is no load are counted apart from those that tell it.
 #[test]
 fn answers_to_probes_without_a_load_are_counted() {
@@ -112,23 +155,10 @@
         let node = Node::new();
         let mixer = Setup { probes: true, ..Setup::new(&[listed("a", node.address, 0)]) }.start();
         let mut client = Client::connect(mixer.address);
-        let mut links: Vec<Link> = Vec::new();
+        let mut links = Vec::new();
         for i in 0.. {
             client.send(query(&format!("q{i}"), "9000m", &[0]));
-            let mut answered = false;
-            while !answered {
-                links.extend(node.try_accept());
-                for link in links.iter_mut().filter(|l| l.has_frame()) {
-                    match link.frame().expect("whole") {
-                        ('p', _) => link.put('p', load),
-                        (_, rest) => {
-                            link.answer(rest.split(' ').next().expect("an id"), "good", "v");
-                            answered = true;
-                        }
-                    }
-                }
-                std::thread::sleep(Duration::from_millis(1));
-            }
+            answer_next(&[&node], &mut links, load);
             assert_eq!(client.response().status, 200);
             if mixer.counters()["probes_answered"] > 0 {
                 break;
--- a/tests/mixer.rs
+++ b/tests/mixer.rs
@@ -171,11 +171,7 @@
 #[test]
 fn a_refused_connection_proves_that_the_part_never_ran() {
     let node = Node::new();
-    // Held and never listened on: a port let go of may be the next one that another test listens on.
-    let gone = tokio::net::TcpSocket::new_v4().expect("a socket");
-    gone.bind(([127, 0, 0, 1], 0).into()).expect("a port");
-    let address = gone.local_addr().expect("an address");
-    let mixer = Setup::new(&[listed("a", address, 0), listed("b", node.address, 0)]).start();
+    let mixer = Setup::new(&[listed("a", nobody(), 0), listed("b", node.address, 0)]).start();
     let serve = background(move || {
         let mut link = node.accept();
         while let Some((_, rest)) = link.frame() {
@@ -189,6 +185,7 @@
     let counters = mixer.counters();
     assert_eq!((counters["attempts_sent"], counters["attempts_reset"]), (20, 0));
     assert!(counters["attempts_not_connected"] > 0);
+    assert!(counters["connections_failed"] > 0);
     drop(mixer);
     serve();
 }
