--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod clock;
 pub mod config;
 pub mod core;
+pub mod gossip;
 pub mod inventory;
 pub mod json;
 pub mod ledger;
