Say a leave by a message of news alone, not by a probe numbered 0 that goes unanswered

Cause: reading the change again, `Detector::leave` sent `Ping { seq: 0 }` and `received` skipped the answer for that number alone: a special case on top of the probe, resting on the counter never handing out 0.

Change: `Message::Gossip { news }`, news answered by nothing; the leave sends it, and a Ping of any number is answered.

--- a/src/gossip/detector.rs
+++ b/src/gossip/detector.rs
@@ -64,6 +64,11 @@
         /// News carried.
         news: Vec<News>,
     },
+    /// News alone, answered by nothing: a member that leaves says so by this.
+    Gossip {
+        /// News carried.
+        news: Vec<News>,
+    },
     /// Probe that one for me, and pass its answer on with my number.
     PingReq {
         /// The requester's number.
@@ -206,7 +211,7 @@
         self.spread(news.clone());
         let others: Vec<(MemberId, Arc<str>)> = self.others().map(|m| (m.id, m.address.clone())).collect();
         for (to, address) in others {
-            let message = Message::Ping { seq: 0, news: vec![news.clone()] };
+            let message = Message::Gossip { news: vec![news.clone()] };
             self.counters.sent += 1;
             out.push(Output::Send { to, address, message });
         }
@@ -354,6 +359,7 @@
         let address = from.address.clone();
         self.take(now, from, out);
         let (seq, news) = match &message {
+            Message::Gossip { news } => (0, news.clone()),
             Message::Ping { seq, news } | Message::Ack { seq, news } | Message::PingReq { seq, news, .. } => {
                 (*seq, news.clone())
             }
@@ -362,7 +368,7 @@
             self.take(now, item, out);
         }
         match message {
-            Message::Ping { .. } if seq == 0 => {}
+            Message::Gossip { .. } => {}
             Message::Ping { .. } => {
                 let message = Message::Ack { seq, news: self.piggyback() };
                 self.send(sender, address, message, out);
