--- a/src/gossip/detector.rs
+++ b/src/gossip/detector.rs
@@ -29,6 +29,10 @@
     pub news_most: usize,
     /// Each piece of news is sent this many times log10 of the members (SWIM's lambda).
     pub retransmit: u32,
+    /// A push-pull of the whole table with one member drawn at random, every so many periods (anti-entropy).
+    pub sync_every: u32,
+    /// Members carried by one message of a push-pull.
+    pub sync_most: usize,
 }
 
 impl Default for DetectorSettings {
@@ -43,6 +47,8 @@
             health_most: 8,
             news_most: 8,
             retransmit: 4,
+            sync_every: 30,
+            sync_most: 16,
         }
     }
 }
@@ -69,6 +75,14 @@
         /// News carried.
         news: Vec<News>,
     },
+    /// A push-pull of the table, in parts: on a join, and now and then to mend what dissemination missed. A
+    /// member that is asked for an answer sends its own table back.
+    Sync {
+        /// Whether the table is asked for in return.
+        answer: bool,
+        /// Members, as the sender knows them.
+        members: Vec<News>,
+    },
     /// Probe that one for me, and pass its answer on with my number.
     PingReq {
         /// The requester's number.
@@ -106,6 +120,13 @@
         /// What.
         message: Message,
     },
+    /// Send this to whoever listens at that address: a join, before the member there is known.
+    Dial {
+        /// Where.
+        address: Arc<str>,
+        /// What.
+        message: Message,
+    },
     /// This news stands now.
     Changed(News),
 }
@@ -153,6 +174,7 @@
     suspicions: HashMap<MemberId, Suspicion>,
     health: u32,
     news: Vec<(News, u32)>,
+    next_sync: Millis,
     counters: DetectorCounters,
 }
 
@@ -166,6 +188,7 @@
         let mut draw = Pcg64Mcg::seed_from_u64(seed.rotate_left(29));
         // Spread the first probe over a period, so that members started together do not probe in step.
         let next_probe = now + uniform(&mut draw) * settings.period;
+        let next_sync = now + (0.5 + uniform(&mut draw)) * settings.period * f64::from(settings.sync_every);
         Detector {
             settings,
             table,
@@ -178,10 +201,30 @@
             suspicions: HashMap::new(),
             health: 0,
             news: Vec::new(),
+            next_sync,
             counters: DetectorCounters::default(),
         }
     }
 
+    /// Joins through members known only by their addresses: a push-pull with each.
+    pub fn join(&mut self, addresses: &[Arc<str>], out: &mut Vec<Output>) {
+        for address in addresses.iter().filter(|a| **a != self.table.me().address) {
+            // One part is enough to be known; the answer brings all of theirs.
+            if let Some(members) = self.table_parts().into_iter().next() {
+                self.counters.sent += 1;
+                out.push(Output::Dial { address: address.clone(), message: Message::Sync { answer: true, members } });
+            }
+        }
+    }
+
+    /// The table in parts of `sync_most`, this member's own news first.
+    fn table_parts(&self) -> Vec<Vec<News>> {
+        let me = self.table.me().clone();
+        let mut all: Vec<News> = vec![me.clone()];
+        all.extend(self.table.members().map(|m| m.news.clone()).filter(|n| n.id != me.id));
+        all.chunks(self.settings.sync_most.max(1)).map(<[News]>::to_vec).collect()
+    }
+
     /// The members as this one knows them.
     pub fn table(&self) -> &Table {
         &self.table
@@ -239,6 +282,17 @@
             self.probe_next(now, out);
         }
         self.run_out(now, out);
+        if now >= self.next_sync && self.settings.sync_every > 0 {
+            let every = self.settings.period * f64::from(self.settings.sync_every);
+            self.next_sync = now + (0.5 + uniform(&mut self.draw)) * every;
+            let live: Vec<(MemberId, Arc<str>)> = self.others().map(|n| (n.id, n.address.clone())).collect();
+            if !live.is_empty() {
+                let (to, address) = live[(self.draw.next_u64() % live.len() as u64) as usize].clone();
+                for (i, members) in self.table_parts().into_iter().enumerate() {
+                    self.send(to, address.clone(), Message::Sync { answer: i == 0, members }, out);
+                }
+            }
+        }
         let period = self.settings.period;
         self.relays.retain(|_, (_, _, at)| now - *at < period);
         self.table.forget(now);
@@ -359,7 +413,7 @@
         let address = from.address.clone();
         self.take(now, from, out);
         let (seq, news) = match &message {
-            Message::Gossip { news } => (0, news.clone()),
+            Message::Gossip { news } | Message::Sync { members: news, .. } => (0, news.clone()),
             Message::Ping { seq, news } | Message::Ack { seq, news } | Message::PingReq { seq, news, .. } => {
                 (*seq, news.clone())
             }
@@ -368,7 +422,12 @@
             self.take(now, item, out);
         }
         match message {
-            Message::Gossip { .. } => {}
+            Message::Gossip { .. } | Message::Sync { answer: false, .. } => {}
+            Message::Sync { answer: true, .. } => {
+                for members in self.table_parts() {
+                    self.send(sender, address.clone(), Message::Sync { answer: false, members }, out);
+                }
+            }
             Message::Ping { .. } => {
                 let message = Message::Ack { seq, news: self.piggyback() };
                 self.send(sender, address, message, out);
