--- a/src/gossip/detector.rs
+++ b/src/gossip/detector.rs
@@ -212,7 +212,10 @@
             // One part is enough to be known; the answer brings all of theirs.
             if let Some(members) = self.table_parts().into_iter().next() {
                 self.counters.sent += 1;
-                out.push(Output::Dial { address: address.clone(), message: Message::Sync { answer: true, members } });
+                out.push(Output::Dial {
+                    address: address.clone(),
+                    message: Message::Sync { answer: true, members },
+                });
             }
         }
     }
--- a/src/gossip/wire.rs
+++ b/src/gossip/wire.rs
@@ -213,7 +213,11 @@
             1 => Packet::Member(Message::Ping { seq: r.u64()?, news: r.list()? }),
             2 => Packet::Member(Message::Ack { seq: r.u64()?, news: r.list()? }),
             3 => Packet::Member(Message::Gossip { news: r.list()? }),
-            4 => Packet::Member(Message::PingReq { seq: r.u64()?, target: MemberId(r.u64()?), news: r.list()? }),
+            4 => Packet::Member(Message::PingReq {
+                seq: r.u64()?,
+                target: MemberId(r.u64()?),
+                news: r.list()?,
+            }),
             5 => Packet::Member(Message::Sync { answer: r.u8()? != 0, members: r.list()? }),
             6 => Packet::Look { seq: r.u64()? },
             7 => Packet::Seen {
