--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,7 +1,7 @@
 //! The one clock: milliseconds as `f64`, monotonic, on the scale of Unix time, so that a start time told by
 //! discovery needs no second scale. Tests set it.
 
-use crate::api::Millis;
+use crate::decide::api::Millis;
 use std::cell::Cell;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,7 +5,7 @@
 
 pub use operator::Operator;
 
-use crate::api::*;
+use crate::decide::api::*;
 use crate::json::{Field, FieldError};
 use crate::membership::{Layout, NodeEntry, NodeList, NodeState};
 use crate::problem::Problems;
--- /dev/null
+++ b/src/core/attempts.rs
@@ -0,0 +1,215 @@
+//! Attempts of parts: placed on connections, handed to writers, ended, and given up until the node knows.
+
+use super::reduce::Step;
+use super::state::{Attempt, Phase, Stage, State, Timer};
+use super::{AttemptId, CallPart, ConnId, Effect, End};
+use crate::decide::api::{self, LoadReport, Millis, Outcome, PartId, ReplicaId};
+use bytes::Bytes;
+
+impl Step<'_> {
+    pub(super) fn send(&mut self, part: PartId, node: ReplicaId, timeout: Millis) {
+        let id = AttemptId(self.state.fresh_id());
+        let Some(p) = self.state.parts.get_mut(&part) else { return };
+        let number = p.attempts;
+        p.attempts += 1;
+        p.live.insert(number, id);
+        let held = p.unsettled > 0;
+        if held {
+            p.held = Some(id);
+        }
+        let until = self.now + timeout;
+        let attempt = Attempt { part, number, node, sent: self.now, until, stage: Stage::Held };
+        self.state.attempts.insert(id, attempt);
+        self.state.arm(until, Timer::Attempt(id));
+        if !held {
+            self.place(id);
+        }
+    }
+
+    /// Puts an attempt on a connection with room, on one that is coming up, or on a new one.
+    pub(super) fn place(&mut self, id: AttemptId) {
+        let Some(node) = self.state.attempts.get(&id).map(|a| a.node) else { return };
+        let Some(conn) = self.connection_to(node) else { return self.end(id, Outcome::ConnectFailed, None) };
+        if let Some(a) = self.state.attempts.get_mut(&id) {
+            a.stage = Stage::Placed(conn);
+        }
+        if let Some(c) = self.state.conns.get_mut(&conn) {
+            c.attempts.insert(id);
+            c.placed.push(id);
+            c.used = self.now;
+        }
+    }
+
+    /// Hands what is placed on connections that are up to their writers, sharing calls where that is allowed.
+    pub(super) fn flush_calls(&mut self) {
+        let per_call = self.state.site.module.parts_per_call.max(1) as usize;
+        let stalled_at = self.now + self.state.site.dial_timeout;
+        let State { conns, attempts, parts, queries, timers, .. } = &mut *self.state;
+        for (id, c) in conns.iter_mut().filter(|(_, c)| c.phase == Phase::Up && !c.placed.is_empty()) {
+            let placed = std::mem::take(&mut c.placed);
+            for call in placed.chunks(per_call) {
+                let message = c.hand(self.now);
+                let mut out = Vec::new();
+                for attempt in call {
+                    let Some(a) = attempts.get_mut(attempt) else { continue };
+                    let Some(p) = parts.get(&a.part) else { continue };
+                    let Some(q) = queries.get(&p.query) else { continue };
+                    a.stage = Stage::Handed(*id, message);
+                    let (query, text) = (q.name.clone(), q.text.clone());
+                    let wait = a.until - self.now;
+                    out.push(CallPart { attempt: *attempt, query, shard: p.shard, wait, text });
+                }
+                self.effects.push(Effect::Call(*id, out));
+            }
+            timers.insert((stalled_at.into(), Timer::Stall(*id)));
+        }
+    }
+
+    /// An attempt is over for the module. What a node may still have of it is given up.
+    pub(super) fn end(&mut self, id: AttemptId, outcome: Outcome, report: Option<LoadReport>) {
+        let Some(a) = self.state.attempts.get(&id) else { return };
+        let (part, number, took, stage) = (a.part, a.number, self.now - a.sent, a.stage);
+        match stage {
+            Stage::GivenUp(..) => return,
+            Stage::Held => self.remove(id),
+            Stage::Placed(conn) => {
+                if let Some(c) = self.state.conns.get_mut(&conn) {
+                    c.placed.retain(|p| *p != id);
+                }
+                self.remove(id);
+            }
+            Stage::Handed(conn, _) => match self.state.conns.get_mut(&conn) {
+                Some(c) if c.phase == Phase::Closing => self.give_up(id, conn, None),
+                Some(c) if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) => {
+                    let message = c.hand(self.now);
+                    self.give_up(id, conn, Some(message));
+                    self.effects.push(Effect::GiveUp(conn, id));
+                    self.state.arm(self.now + self.state.site.dial_timeout, Timer::Stall(conn));
+                }
+                _ => self.remove(id),
+            },
+        }
+        let counters = &mut self.state.counters;
+        *match outcome {
+            Outcome::Ok => &mut counters.attempts_good,
+            Outcome::Error => &mut counters.attempts_bad,
+            Outcome::Rejected => &mut counters.attempts_rejected,
+            Outcome::Timeout => &mut counters.attempts_timed_out,
+            Outcome::ConnectFailed => &mut counters.attempts_not_connected,
+            Outcome::Reset => &mut counters.attempts_reset,
+            Outcome::Cancelled => &mut counters.attempts_cancelled,
+            Outcome::NotSent => &mut counters.attempts_not_sent,
+        } += 1;
+        if let Some(p) = self.state.parts.get_mut(&part) {
+            p.live.remove(&number);
+            p.held = p.held.filter(|held| *held != id);
+            if p.live.is_empty() && !self.state.queries.contains_key(&p.query) {
+                self.state.parts.remove(&part);
+            }
+        }
+        self.news.push_back(api::Event::AttemptEnd { part, attempt: number, outcome, took, report });
+    }
+
+    /// Marks an attempt as given up; its part's next one waits until the node has been told.
+    pub(super) fn give_up(&mut self, id: AttemptId, conn: ConnId, message: Option<u64>) {
+        let Some(a) = self.state.attempts.get_mut(&id) else { return };
+        a.stage = Stage::GivenUp(conn, message);
+        if let Some(p) = self.state.parts.get_mut(&a.part) {
+            p.unsettled += 1;
+        }
+    }
+
+    /// A node has been told of a give-up. Whether it stops the work is up to it: the place stays taken until it
+    /// says more, and a connection without places left takes nothing new.
+    pub(super) fn abandon(&mut self, id: AttemptId, conn: ConnId) {
+        let most = (self.state.site.calls_per_connection as usize).saturating_sub(1);
+        if let Some(c) = self.state.conns.get_mut(&conn) {
+            c.abandoned += 1;
+            c.retired |= c.abandoned >= most;
+        }
+        self.settle(id);
+    }
+
+    /// The node cannot take a given-up attempt for one that is out any more.
+    pub(super) fn settle(&mut self, id: AttemptId) {
+        let Some(part) = self.state.attempts.get(&id).map(|a| a.part) else { return };
+        self.remove(id);
+        let Some(p) = self.state.parts.get_mut(&part) else { return };
+        p.unsettled = p.unsettled.saturating_sub(1);
+        if p.unsettled == 0
+            && let Some(next) = p.held.take()
+        {
+            self.place(next);
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: AttemptId) {
+        let Some(a) = self.state.attempts.remove(&id) else { return };
+        let conn = match a.stage {
+            Stage::Held => return,
+            Stage::Placed(conn) | Stage::Handed(conn, _) | Stage::GivenUp(conn, _) => conn,
+        };
+        if let Some(c) = self.state.conns.get_mut(&conn) {
+            c.attempts.remove(&id);
+            c.used = self.now;
+        }
+        self.close_if_done(conn);
+    }
+
+    pub(super) fn part_ended(
+        &mut self,
+        conn: ConnId,
+        id: AttemptId,
+        end: End,
+        rows: Vec<Bytes>,
+        report: Option<LoadReport>,
+    ) {
+        if let Some(c) = self.state.conns.get_mut(&conn) {
+            c.heard = self.now;
+        }
+        self.state.counters.reports_read += u64::from(report.is_some());
+        let Some(a) =
+            self.state.attempts.get(&id).filter(|a| matches!(a.stage, Stage::Handed(on, _) if on == conn))
+        else {
+            // To what was given up: it is out no more, and its place is free again.
+            self.state.counters.answers_ignored += 1;
+            if self.state.attempts.contains_key(&id) {
+                self.settle(id);
+            } else if let Some(c) = self.state.conns.get_mut(&conn) {
+                c.abandoned = c.abandoned.saturating_sub(1);
+            }
+            return;
+        };
+        let outcome = match end {
+            End::Good => Outcome::Ok,
+            End::Bad => Outcome::Error,
+            End::Later => Outcome::Rejected,
+            End::Cut => Outcome::Reset,
+        };
+        if end == End::Good
+            && let Some(p) = self.state.parts.get_mut(&a.part)
+        {
+            p.value.get_or_insert(rows);
+        }
+        self.end(id, outcome, report);
+    }
+
+    pub(super) fn timed_out(&mut self, id: AttemptId) {
+        let Some(a) = self.state.attempts.get(&id) else { return };
+        let (sent, stage) = (a.sent, a.stage);
+        self.end(id, Outcome::Timeout, None);
+        if let Stage::Handed(conn, _) = stage {
+            self.retire_if_silent(conn, sent);
+        }
+    }
+
+    /// A node holds other shards now: what has not left for it yet must not, for it may hold those no more.
+    pub(super) fn recall(&mut self, node: ReplicaId) {
+        let waits = |a: &Attempt| a.node == node && matches!(a.stage, Stage::Held | Stage::Placed(_));
+        let waiting = self.state.attempts.iter().filter(|(_, a)| waits(a));
+        let ids: Vec<AttemptId> = waiting.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.end(id, Outcome::ConnectFailed, None);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/connections.rs
@@ -0,0 +1,159 @@
+//! Connections to nodes: opened, shared, retired, closed, and what their end means for what was on them.
+
+use super::reduce::Step;
+use super::state::{Conn, Phase, Probe, Stage, Timer};
+use super::{AttemptId, ConnId, Effect};
+use crate::decide::api::{Millis, Outcome, ReplicaId};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Unwritten messages on a connection beyond which nothing new is put on it: bounds a stalled node's queue.
+const UNWRITTEN_MOST: u64 = 64;
+/// Share of the nodes' keep-alive after which an idle connection is closed, and the least margin to it: our
+/// close must come before theirs, or a part crosses it and is reset.
+const IDLE_SHARE: f64 = 0.8;
+const IDLE_MARGIN: Millis = 500.0;
+
+impl Step<'_> {
+    pub(super) fn connection_to(&mut self, node: ReplicaId) -> Option<ConnId> {
+        // Every part is taken for a call of its own, the most it can be. One place stays free, and what was given
+        // up may be in the node's hands still: on a full connection the node reads no give-up, and the part's
+        // next attempt would be a second copy.
+        let most = (self.state.site.calls_per_connection as usize).saturating_sub(1).max(1);
+        let room = |c: &Conn| {
+            c.node == node
+                && !c.retired
+                && c.phase != Phase::Closing
+                && c.attempts.len() + c.abandoned < most
+                && c.handed - c.written < UNWRITTEN_MOST
+        };
+        let with_room = self.state.conns.iter().filter(|(_, c)| room(c));
+        let best = with_room.min_by_key(|(id, c)| (c.phase != Phase::Up, **id)).map(|(id, _)| *id);
+        if best.is_some() {
+            return best;
+        }
+        if self.state.conns.len() >= self.state.limits.node_connections {
+            return None; // descriptors are bounded: against running out of them under a storm of dials
+        }
+        let address = self.state.nodes.get(&node)?.address.clone();
+        let id = ConnId(self.state.fresh_id());
+        self.state.conns.insert(id, Conn::new(node, self.now));
+        self.state.counters.connections_dialled += 1;
+        self.state.arm(self.now + self.state.site.dial_timeout, Timer::Dial(id));
+        self.effects.push(Effect::Dial(id, address));
+        Some(id)
+    }
+
+    pub(super) fn connected(&mut self, conn: ConnId) {
+        let Some(c) = self.state.conns.get_mut(&conn).filter(|c| c.phase == Phase::Dialling) else { return };
+        (c.phase, c.heard) = (Phase::Up, self.now);
+        let probes = std::mem::take(&mut c.probes_placed);
+        self.state.counters.connections_up += 1;
+        for _ in 0..probes {
+            self.hand_probe(conn);
+        }
+        self.arm_idle(conn);
+    }
+
+    pub(super) fn written(&mut self, conn: ConnId, upto: u64) {
+        let Some(c) = self.state.conns.get_mut(&conn) else { return };
+        let before = c.written;
+        (c.written, c.waits_since) = (upto, self.now);
+        let mut settled = Vec::new();
+        for id in &c.attempts {
+            match self.state.attempts.get(id).map(|a| a.stage) {
+                Some(Stage::Handed(_, message)) if before < message && message <= upto => {
+                    self.state.counters.attempts_sent += 1;
+                }
+                Some(Stage::GivenUp(_, Some(message))) if message <= upto => settled.push(*id),
+                _ => {}
+            }
+        }
+        for id in settled {
+            self.abandon(id, conn);
+        }
+    }
+
+    pub(super) fn broken(&mut self, conn: ConnId, why: &str, spoilt: bool) {
+        let Some(c) = self.state.conns.remove(&conn) else { return };
+        self.state.counters.connections_failed += u64::from(c.phase == Phase::Dialling);
+        if c.phase != Phase::Closing {
+            self.state.counters.connections_broken += 1;
+            if !why.is_empty() {
+                self.effects.push(Effect::Log(format!("connection to node {} ended: {why}", c.node.0)));
+            }
+        }
+        self.state.counters.connections_spoilt += u64::from(spoilt);
+        self.lose(&c.attempts, &c.probes, &c, if spoilt { Outcome::Error } else { Outcome::Reset });
+        for id in c.attempts {
+            self.settle(id);
+        }
+    }
+
+    /// Ends a connection from this side. Whole frames on it stay unsettled until the end is confirmed.
+    pub(super) fn close(&mut self, conn: ConnId) {
+        let Some(c) = self.state.conns.get_mut(&conn).filter(|c| c.phase != Phase::Closing) else { return };
+        self.state.counters.connections_closed += 1;
+        self.effects.push(Effect::Close(conn));
+        let was = std::mem::replace(&mut c.phase, Phase::Closing);
+        let lost = Conn { phase: was, probes: std::mem::take(&mut c.probes), ..Conn::new(c.node, self.now) };
+        // The writer may get a frame out before it sees the order to close: each may have run.
+        let (attempts, lost) = (c.attempts.clone(), Conn { written: c.handed, ..lost });
+        self.lose(&attempts, &lost.probes, &lost, Outcome::Reset);
+    }
+
+    /// Ends all attempts and probes of a connection that is no more, by what was written of them; `whole` is the
+    /// outcome of those that may have run.
+    pub(super) fn lose(
+        &mut self,
+        attempts: &BTreeSet<AttemptId>,
+        probes: &VecDeque<Probe>,
+        c: &Conn,
+        whole: Outcome,
+    ) {
+        for id in attempts {
+            match self.state.attempts.get(id).map(|a| a.stage) {
+                // Part of a frame proves that it never ran; a whole one may have.
+                Some(Stage::Handed(_, message)) if message <= c.written => self.end(*id, whole, None),
+                Some(Stage::Placed(_) | Stage::Handed(..)) => self.end(*id, Outcome::ConnectFailed, None),
+                _ => {}
+            }
+        }
+        let outcome = if c.phase == Phase::Dialling { Outcome::ConnectFailed } else { Outcome::Reset };
+        for probe in probes.iter().filter(|p| !p.over) {
+            self.tell_probed(c.node, outcome, self.now - probe.sent, None);
+        }
+    }
+
+    /// Closes a connection that takes nothing new once nothing is out on it.
+    pub(super) fn close_if_done(&mut self, conn: ConnId) {
+        if self.state.conns.get(&conn).is_some_and(|c| c.retired && c.is_unused()) {
+            self.close(conn);
+        }
+    }
+
+    pub(super) fn arm_idle(&mut self, conn: ConnId) {
+        let keepalive = self.state.site.keepalive;
+        let after = (IDLE_SHARE * keepalive).min((keepalive - IDLE_MARGIN).max(0.0)).max(1.0);
+        let Some(c) = self.state.conns.get(&conn) else { return };
+        let due = if c.is_unused() { c.used } else { self.now } + after;
+        if due <= self.now { self.close(conn) } else { self.state.arm(due, Timer::Idle(conn)) }
+    }
+
+    /// A connection on which nothing came since a time: its machine may be gone without a word, and even back
+    /// without knowing it. New work finds out by a dial.
+    pub(super) fn retire_if_silent(&mut self, conn: ConnId, since: Millis) {
+        if let Some(c) = self.state.conns.get_mut(&conn).filter(|c| c.heard < since) {
+            c.retired = true;
+            self.close_if_done(conn);
+        }
+    }
+
+    /// Connections to a node that left or moved take nothing new.
+    pub(super) fn retire(&mut self, node: ReplicaId) {
+        let of_node = self.state.conns.iter_mut().filter(|(_, c)| c.node == node);
+        let ids: Vec<ConnId> = of_node.map(|(id, c)| (c.retired = true, *id).1).collect();
+        for conn in ids {
+            self.close_if_done(conn);
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,7 +1,14 @@
 //! The sans-IO mixer. It knows no wire: fronts and node connections turn their bytes into [`Event`]s, and carry
 //! out the [`Effect`]s that [`reduce`] gives back. All state changes are made there, and nowhere else.
 
+mod attempts;
+mod clients;
+mod connections;
 mod counters;
+mod life;
+mod lists;
+mod probes;
+mod queries;
 mod reduce;
 mod state;
 
@@ -9,8 +16,8 @@
 pub use reduce::reduce;
 pub use state::{Limits, State};
 
-use crate::api::{LoadReport, Millis};
 use crate::config::SiteSettings;
+use crate::decide::api::{LoadReport, Millis};
 use crate::ledger::{Entry, Told};
 use crate::membership::{Input, NodeList, Notice};
 use bytes::Bytes;
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -1,9 +1,9 @@
 //! What the core remembers. Changed by `reduce` alone.
 
 use super::{AttemptId, ClientId, ConnId, Counters};
-use crate::Balancer;
-use crate::api::*;
 use crate::config::SiteSettings;
+use crate::decide::Balancer;
+use crate::decide::api::*;
 use crate::ledger::{PriceList, Share, TenantMetrics};
 use crate::membership::{GuardSettings, Membership};
 use bytes::Bytes;
--- a/src/logic.rs
+++ b/src/decide/logic.rs
@@ -1,10 +1,10 @@
-//! All decisions of the aggregator. Interface (settings, events, actions, ids): `src/api.rs`.
+//! All decisions of the aggregator. Interface (settings, events, actions, ids): `api`.
 //!
 //! Ordinary path: each part draws two distinct holders of its shard and goes to the less busy. Every guard
 //! below acts through the busyness, or on who may be drawn; `docs/design.md` tells when.
 
-use crate::api::*;
-use crate::state::{Attempt, Balancer, Part, Query, Quotas, Recent, Replica, Tally, never_ran, sane};
+use super::api::*;
+use super::state::{Attempt, Balancer, Part, Query, Quotas, Recent, Replica, Tally, never_ran, sane};
 
 // Constants: each a ratio, or a multiple of a setting or of something observed.
 /// Sweeps come every so many ticks: far finer than any latency that matters, far coarser than a tick.
--- a/src/state.rs
+++ b/src/decide/state.rs
@@ -1,6 +1,6 @@
 //! What the module remembers of replicas, parts and queries, and its seeded draws. No decisions.
 
-use crate::api::*;
+use super::api::*;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,21 +40,19 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 
-pub mod api;
 pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod core;
+pub mod decide;
 pub mod gossip;
 pub mod inventory;
 pub mod json;
 pub mod ledger;
 pub mod logging;
-mod logic;
 pub mod membership;
 pub mod net;
 pub mod problem;
-mod state;
 pub mod yaml;
 
-pub use state::Balancer;
+pub use decide::{Balancer, api};
--- a/src/membership/pace.rs
+++ b/src/membership/pace.rs
@@ -7,7 +7,7 @@
 //! wait is long against those two bounds: the first call after a start and the call after a watch that told
 //! something come within a fraction of the first; the calls after failures, within a fraction of the second.
 
-use crate::api::Millis;
+use crate::decide::api::Millis;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,10 +2,10 @@
 
 use super::chunked::Chunks;
 use super::{Input, ToCore};
-use crate::api::Millis;
 use crate::clock::Clock;
 use crate::config::node_list;
 use crate::core::Event;
+use crate::decide::api::Millis;
 use crate::json::Field;
 use crate::membership::{NodeList, Pace};
 use bytes::BytesMut;
--- a/src/net/flight/front.rs
+++ b/src/net/flight/front.rs
@@ -1,8 +1,8 @@
 //! The front for gateways: `DoGet` with a ticket that carries the query, `GetFlightInfo` for that ticket.
 
 use super::socket::{Carried, Socket};
-use crate::api::Millis;
 use crate::core::{ClientId, Event, Limits, NewQuery, Reply};
+use crate::decide::api::Millis;
 use crate::net::query::{Range, is_name};
 use crate::net::{Input, ToClient, ToCore};
 use arrow_array::{ArrayRef, RecordBatch, StringArray, UInt32Array};
--- a/src/net/flight/node.rs
+++ b/src/net/flight/node.rs
@@ -2,8 +2,8 @@
 //! part as JSON; the answer is a stream of batches with a text column `blob`. The action `load` is the probe.
 
 use super::socket::{Carried, Socket};
-use crate::api::LoadReport;
 use crate::core::{AttemptId, CallPart, ConnId, End, Event};
+use crate::decide::api::LoadReport;
 use crate::net::{Input, ToCore, ToNode, leaf};
 use arrow_array::cast::AsArray;
 use arrow_flight::decode::FlightRecordBatchStream;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,8 +4,8 @@
 use super::chunked::Chunks;
 use super::query::{Body, Range, is_name};
 use super::{Input, ToClient, ToCore};
-use crate::api::Millis;
 use crate::core::{ClientId, Event, Limits, NewQuery, Reply};
+use crate::decide::api::Millis;
 use bytes::{Buf, Bytes, BytesMut};
 use miniserde::{Serialize, json};
 use std::io;
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -2,8 +2,8 @@
 //! letter, and the rest.
 
 use super::{Input, ToCore, ToNode};
-use crate::api::LoadReport;
 use crate::core::{AttemptId, CallPart, ConnId, End, Event};
+use crate::decide::api::LoadReport;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
