--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,7 +6,7 @@
 pub use operator::Operator;
 
 use crate::decide::api::*;
-use crate::json::{Field, FieldError};
+use crate::json::{Field, FieldError, Shape};
 use crate::membership::{Layout, NodeEntry, NodeList, NodeState};
 use crate::problem::Problems;
 use miniserde::json::Value;
@@ -41,26 +41,6 @@
     pub fn layout(&self) -> Layout {
         Layout { cells: self.module.cells.max(1), width: self.module.width.max(1) }
     }
-
-    /// May these take the place of others while queries are held? Those go by the numbers of classes, tenants
-    /// and zones, so these must stay as they are.
-    ///
-    /// # Errors
-    /// The field that only a restart can change.
-    pub fn may_follow(&self, old: &SiteSettings) -> Result<(), FieldError> {
-        let names = [
-            ("settings.categories", &self.classes, &old.classes),
-            ("settings.tenants", &self.tenants, &old.tenants),
-            ("settings.zones", &self.zones, &old.zones),
-        ];
-        match names.iter().find(|(_, new, old)| new != old) {
-            Some((field, ..)) => Err(FieldError {
-                field: (*field).to_owned(),
-                problem: "takes a restart to change".to_owned(),
-            }),
-            None => Ok(()),
-        }
-    }
 }
 
 /// Reads the settings from an instance's first message or from `settings` in `RELAY_CONFIG`.
@@ -219,12 +199,16 @@
     pub discovery: Arc<str>,
     /// For random numbers.
     pub seed: u64,
+    /// Where operators call, if anywhere.
+    pub management: Option<SocketAddr>,
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// The list of nodes as this mixer last had it.
     pub known: NodeList,
     /// The settings.
     pub site: SiteSettings,
+    /// The keys of settings and limits.
+    pub shape: Shape,
     /// What the operators set up beside the platform.
     pub operator: Operator,
 }
@@ -259,8 +243,8 @@
 impl std::error::Error for ConfigError {}
 
 impl Config {
-    /// From the environment and the file that `RELAY_CONFIG` names. `RELAY_NAME`, `RELAY_LISTEN` and
-    /// `RELAY_DISCOVERY` stand over the file's.
+    /// From the environment and the file that `RELAY_CONFIG` names. `RELAY_NAME`, `RELAY_LISTEN`, `RELAY_DISCOVERY` and
+    /// `RELAY_MANAGEMENT` stand over the file's.
     ///
     /// # Errors
     /// What keeps the program from starting, with the file and the field.
@@ -277,10 +261,18 @@
     /// start is older than the file now, so the file's own words count.
     ///
     /// # Errors
-    /// Why the old settings stand, with the file and the field.
-    pub fn reload() -> Result<Self, ConfigError> {
+    /// Why the old settings stand, with the file and the field. A key that the file in force had and this one has not is
+    /// one: a file that somebody cut short would else put a default in the place of each figure that it lost.
+    pub fn reload(in_force: &Shape) -> Result<Self, ConfigError> {
         let path = env::var("RELAY_CONFIG").map_err(|_| ConfigError::Missing("RELAY_CONFIG"))?;
-        Self::read(Path::new(&path), |_| None)
+        let new = Self::read(Path::new(&path), |_| None)?;
+        match in_force.difference(&new.shape).next() {
+            Some(key) => {
+                let problem = "is missing, the file in force has it".to_owned();
+                Err(ConfigError::Field(path, FieldError { field: key.clone(), problem }))
+            }
+            None => Ok(new),
+        }
     }
 
     /// A file read by itself, without environment and operator's file.
@@ -327,6 +319,15 @@
         };
         let (listen, listen_field) = told("RELAY_LISTEN", "listen")?;
         let seed = root.get("seed");
+        let management = match (over("RELAY_MANAGEMENT"), root.get("management").present()) {
+            (None, None) => None,
+            (told, field) => {
+                let text = told.map_or_else(|| root.get("management").text().map(str::to_owned), Ok)?;
+                let field = field.unwrap_or_else(|| root.get("management"));
+                let wrong = || field.or(field.wrong("is no address and port"), ([127, 0, 0, 1], 0).into());
+                Some(text.parse().or_else(|_| wrong())?)
+            }
+        };
         Ok(Config {
             name: told("RELAY_NAME", "name")?.0,
             listen: match listen.parse() {
@@ -335,6 +336,7 @@
                     .or(listen_field.wrong("is no address and port"), ([127, 0, 0, 1], 0).into())?,
             },
             discovery: told("RELAY_DISCOVERY", "discovery")?.0.into(),
+            management,
             seed: match u64::from_str_radix(seed.text()?, 16) {
                 Ok(number) => number,
                 Err(_) => seed.or(seed.wrong("is no hex number"), 0)?,
@@ -345,6 +347,7 @@
                 None => NodeList::default(),
             },
             site: settings(&root.get("settings"))?,
+            shape: &root.get("settings").shape() | &root.get("limits").shape(),
             operator: Operator::default(),
         })
     }
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -205,11 +205,20 @@
 
     /// A node holds other shards now: what has not left for it yet must not, for it may hold those no more.
     pub(super) fn recall(&mut self, node: ReplicaId) {
+        self.take_back(node, Outcome::ConnectFailed);
+    }
+
+    /// A node is out by hand: what has not left for it yet must not. That tells nothing of the node.
+    pub(super) fn withdraw(&mut self, node: ReplicaId) {
+        self.take_back(node, Outcome::NotSent);
+    }
+
+    fn take_back(&mut self, node: ReplicaId, outcome: Outcome) {
         let waits = |a: &Attempt| a.node == node && matches!(a.stage, Stage::Held | Stage::Placed(_));
         let waiting = self.state.attempts.iter().filter(|(_, a)| waits(a));
         let ids: Vec<AttemptId> = waiting.map(|(id, _)| *id).collect();
         for id in ids {
-            self.end(id, Outcome::ConnectFailed, None);
+            self.end(id, outcome, None);
         }
     }
 }
--- a/src/core/clients.rs
+++ b/src/core/clients.rs
@@ -67,7 +67,7 @@
     pub(super) fn reply(&mut self, client: ClientId, reply: Reply) {
         let Some(c) = self.state.clients.get_mut(&client) else { return };
         (c.query, c.idle_since, c.asked) = (None, self.now, true);
-        let close = self.leaving();
+        let close = self.lets_go();
         self.effects.push(Effect::Reply { client, reply, close });
         self.bound_idle();
     }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -72,6 +72,8 @@
     ledger_failures: "Times that the ledger's disk began to fail.",
     ledger_periods_closed: "Billing periods closed.",
     ledger_exports: "Exports of the ledger done.",
+    operations: "Calls of operators on the second address.",
+    operations_refused: "Those that were told no: nobody has the name, or no room.",
     reloads: "Times that the configuration was read anew.",
     reloads_rejected: "Times that the old settings stood, for the file made no sense.",
 }
--- a/src/core/life.rs
+++ b/src/core/life.rs
@@ -1,61 +1,284 @@
-//! The mixer's own life: new settings, leaving, the end.
+//! The mixer's own life: starting, ready, draining, handing over, leaving; the operators' orders; new settings.
+//! `docs/design/operations.md` draws it.
 
 use super::reduce::Step;
 use super::state::{Client, Timer};
-use super::{Effect, Limits};
+use super::{CallId, Effect, Limits, Operation, Verdict};
 use crate::config::SiteSettings;
 use crate::decide::api::Millis;
+use crate::handover::{Orders, Subject};
 use crate::membership::Input;
+use std::sync::Arc;
 
-/// After SIGTERM clients are served as ever for so long: the front notices a leaving mixer only after a while, and
-/// clients whose connections go at once may find no other mixer yet. What comes later may not be answered in time.
-const DRAIN_SERVES: Millis = 650.0;
-/// A client that has shown no request for so long is idle while this mixer leaves.
-const DRAIN_IDLE: Millis = 100.0;
+/// Clients that are let go are served as ever for so long: the front notices only after a while, and clients whose
+/// connections go at once may find no other mixer yet. What comes later may not be answered in time.
+const SERVES: Millis = 650.0;
+/// A client that has shown no request for so long is idle while clients are let go.
+const IDLE: Millis = 100.0;
+/// A mixer that has a list is ready without a word from discovery after so long: it may be down.
+const HEARS: Millis = 1000.0;
+/// What was out and is back is remembered for so long at the least: every process of the mixer has heard of it then.
+const REMEMBERED: Millis = 60_000.0;
+
+/// Where a mixer stands in its life.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Life {
+    /// It has no list yet, or has not heard discovery.
+    Starting {
+        /// Since when.
+        since: Millis,
+    },
+    /// It serves.
+    Ready,
+    /// It serves on, and sends its clients away: an operator's order, until the next.
+    Draining {
+        /// Since when.
+        since: Millis,
+    },
+    /// It ends, and another process of this mixer goes on.
+    HandingOver {
+        /// Since when.
+        since: Millis,
+    },
+    /// It ends.
+    Leaving {
+        /// Since when.
+        since: Millis,
+    },
+}
+
+impl Life {
+    /// Its name, for the log and the counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Starting { .. } => "starting",
+            Self::Ready => "ready",
+            Self::Draining { .. } => "draining",
+            Self::HandingOver { .. } => "handing over",
+            Self::Leaving { .. } => "leaving",
+        }
+    }
+
+    /// The process is to end.
+    pub fn ends(self) -> bool {
+        matches!(self, Self::HandingOver { .. } | Self::Leaving { .. })
+    }
+
+    /// Could this process serve, by `/-/ready`?
+    pub fn could_serve(self) -> bool {
+        matches!(self, Self::Ready | Self::Draining { .. })
+    }
+
+    /// Is the mixer to be given clients, by `/healthz`? Where another process goes on the mixer is.
+    fn wants_clients(self) -> bool {
+        matches!(self, Self::Starting { .. } | Self::Ready | Self::HandingOver { .. })
+    }
+
+    /// From when on an answer ends its connection, and from when on idle clients are closed.
+    fn lets_go(self) -> Option<(Millis, Millis)> {
+        match self {
+            Self::Starting { .. } | Self::Ready => None,
+            Self::HandingOver { since } => Some((since, since + SERVES)),
+            Self::Draining { since } | Self::Leaving { since } => Some((since + SERVES, since + SERVES)),
+        }
+    }
+
+    /// From when on no client is accepted.
+    fn shuts(self) -> Option<Millis> {
+        match self {
+            Self::HandingOver { since } => Some(since),
+            Self::Leaving { since } => Some(since + SERVES),
+            _ => None,
+        }
+    }
+}
+
+/// Other processes of this mixer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Beside {
+    /// Those that live.
+    pub others: usize,
+    /// One of them has said that it is ready.
+    pub ready: bool,
+}
 
 impl Step<'_> {
-    /// New figures count for what comes from now on; what is held goes on as it began.
-    pub(super) fn settings(&mut self, site: SiteSettings, limits: Limits) {
-        self.state.counters.reloads += 1;
-        // Both were checked before: neither is turned down now.
-        if self.state.module.reconfigure(site.module.clone()).is_ok() {
-            let layout = site.layout();
-            (self.state.site, self.state.limits) = (site, limits);
-            self.membership(Input::Layout(layout), None);
+    fn enter_life(&mut self, life: Life) {
+        if self.state.life.name() != life.name() {
+            let (from, to) = (self.state.life.name(), life.name());
+            self.effects.push(Effect::Life { from, to, ready: life.could_serve() });
+        }
+        self.state.life = life;
+        self.let_go();
+    }
+
+    /// A start ends once there is a list and discovery has been heard, or has been silent for long enough.
+    pub(super) fn look_ready(&mut self, heard: bool) {
+        let Life::Starting { since } = self.state.life else { return };
+        if self.state.nodes.is_empty() {
+            return;
+        }
+        if heard || self.now >= since + HEARS {
+            self.serve();
+        } else {
+            self.state.arm(since + HEARS, Timer::Ready);
         }
     }
 
+    /// Ready, or drained where an order says so.
+    fn serve(&mut self) {
+        let drained = self.state.orders.is_out(&Subject::Mixer);
+        self.enter_life(if drained { Life::Draining { since: self.now } } else { Life::Ready });
+    }
+
     pub(super) fn terminate(&mut self) {
-        if self.state.terminating.is_some() {
+        if self.state.life.ends() {
             return;
         }
-        self.state.terminating = Some(self.now);
+        // Clients that a drain has let go already need no more time.
+        let since = match self.state.life {
+            Life::Draining { since } => since,
+            _ => self.now,
+        };
+        let successor = self.state.beside.ready;
         self.effects.push(Effect::Log("asked to end: answering what is held".to_owned()));
-        self.drain();
+        self.enter_life(if successor { Life::HandingOver { since } } else { Life::Leaving { since } });
+    }
+
+    /// Is a client's connection to end with its answer?
+    pub(super) fn lets_go(&self) -> bool {
+        self.state.life.lets_go().is_some_and(|(answered, _)| self.now >= answered)
     }
 
-    /// Is this mixer leaving, and has it served as ever for long enough?
-    pub(super) fn leaving(&self) -> bool {
-        self.state.terminating.is_some_and(|since| self.now >= since + DRAIN_SERVES)
+    /// Does this mixer take clients, by `/healthz`?
+    pub(super) fn is_healthy(&self) -> bool {
+        self.state.life.wants_clients()
+            && !self.state.nodes.is_empty()
+            && !self.state.orders.is_out(&Subject::Mixer)
     }
 
-    /// While this mixer leaves: all are served for a while, then none are accepted and idle ones are closed.
-    pub(super) fn drain(&mut self) {
-        let Some(since) = self.state.terminating else { return };
-        if self.now < since + DRAIN_SERVES {
-            return self.state.arm(since + DRAIN_SERVES, Timer::Drain);
+    /// While clients are let go: all are served for a while, then idle ones are closed; none are accepted by a process
+    /// that ends.
+    pub(super) fn let_go(&mut self) {
+        let life = self.state.life;
+        let Some((_, idle_from)) = life.lets_go() else { return };
+        let shuts = life.shuts().filter(|_| self.state.accepts);
+        if shuts.is_some_and(|at| self.now >= at) {
+            self.state.accepts = false;
+            self.effects.push(Effect::StopAccepting);
         }
-        self.effects.push(Effect::StopAccepting);
-        let idle = |c: &Client| c.query.is_none() && c.idle_since + DRAIN_IDLE <= self.now;
+        if self.now < idle_from {
+            return self.state.arm(idle_from, Timer::LetGo);
+        }
+        let idle = |c: &Client| c.query.is_none() && c.idle_since + IDLE <= self.now;
         let idle = self.state.clients.iter().filter(|(_, c)| idle(c));
         self.effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
-        self.state.arm(self.now + DRAIN_IDLE, Timer::Drain);
+        self.state.arm(self.now + IDLE, Timer::LetGo);
     }
 
     pub(super) fn check_exit(&mut self) {
-        if self.leaving() && self.state.clients.is_empty() && !self.state.exited {
-            self.state.exited = true;
+        let state = &mut *self.state;
+        if state.life.ends() && state.accepted_all && state.clients.is_empty() && !state.exited {
+            state.exited = true;
             self.effects.push(Effect::Exit);
         }
     }
+
+    // ---- Orders ---------------------------------------------------------------------------------------
+
+    pub(super) fn operate(&mut self, call: CallId, operation: Operation) {
+        self.state.counters.operations += 1;
+        let (subject, out) = match operation {
+            Operation::Ready => {
+                let verdict = if self.state.life.could_serve() { Verdict::Yes } else { Verdict::No };
+                return self.effects.push(Effect::Decided(call, verdict));
+            }
+            Operation::Disable(name) => (Subject::Node(name), true),
+            Operation::Enable(name) => (Subject::Node(name), false),
+            Operation::Drain => (Subject::Mixer, true),
+            Operation::Resume => (Subject::Mixer, false),
+        };
+        if let Subject::Node(name) = &subject
+            && self.state.membership.node(name).is_none()
+            && !self.state.orders.is_out(&subject)
+        {
+            self.state.counters.operations_refused += 1;
+            return self.effects.push(Effect::Decided(call, Verdict::Unknown));
+        }
+        let now = self.now + self.state.wall_ahead;
+        match self.state.orders.give(subject, out, now) {
+            Ok(changed) => {
+                if changed {
+                    self.obey();
+                }
+                // Kept in any case: a call that changed nothing here may find that it is not kept yet.
+                self.effects.push(Effect::Keep(call, self.state.orders.clone()));
+            }
+            Err(_) => {
+                self.state.counters.operations_refused += 1;
+                self.effects.push(Effect::Decided(call, Verdict::No));
+            }
+        }
+    }
+
+    /// Orders that another process of this mixer was given, or that were kept from before.
+    pub(super) fn orders_found(&mut self, orders: &Orders, digest: u32) {
+        if self.state.orders.merge(orders) {
+            self.obey();
+        }
+        self.effects.push(Effect::InForce(digest));
+    }
+
+    /// Does what the orders say now.
+    fn obey(&mut self) {
+        let long_ago = self.now + self.state.wall_ahead - REMEMBERED.max(self.state.site.module.warm_after);
+        self.state.orders.forget_before(long_ago);
+        let nodes = self.state.orders.nodes();
+        let out: Vec<Arc<str>> = nodes.iter().filter(|(_, o)| o.out).map(|(name, _)| name.clone()).collect();
+        self.membership(Input::ByHand(nodes), None);
+        for name in out {
+            if let Some(node) = self.state.node_ids.get(&name).copied() {
+                self.withdraw(node);
+                self.retire(node);
+            }
+        }
+        let drained = self.state.orders.is_out(&Subject::Mixer);
+        match self.state.life {
+            Life::Ready if drained => self.enter_life(Life::Draining { since: self.now }),
+            Life::Draining { .. } if !drained => self.enter_life(Life::Ready),
+            _ => {}
+        }
+    }
+
+    /// Other processes of this mixer have come or gone: what a process may hold open is shared among them.
+    pub(super) fn beside(&mut self, beside: Beside) {
+        self.state.beside = beside;
+        self.state.limits = self.state.all_limits.shared(1 + beside.others);
+        self.effects.push(Effect::Room(self.state.limits.clients_open()));
+    }
+
+    // ---- Settings -------------------------------------------------------------------------------------
+
+    /// New figures count for what comes from now on; what is held goes on as it began.
+    pub(super) fn settings(&mut self, site: SiteSettings, limits: Limits) {
+        let old = &self.state.site;
+        let was = |name: &String| old.classes.iter().position(|c| c == name);
+        let was: Vec<Option<usize>> = site.classes.iter().map(was).collect();
+        let zones_moved = site.zones != old.zones;
+        // They were checked before, and are not turned down now.
+        if self.state.module.reconfigure(site.module.clone(), &was).is_err() {
+            self.state.counters.reloads_rejected += 1;
+            return;
+        }
+        self.state.counters.reloads += 1;
+        let layout = site.layout();
+        self.state.site = site;
+        self.state.all_limits = limits;
+        self.beside(self.state.beside);
+        self.membership(Input::Layout(layout), None);
+        if zones_moved {
+            // The module knows zones by their place in the settings.
+            self.membership(Input::Again, None);
+        }
+    }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,11 +13,13 @@
 mod state;
 
 pub use counters::Counters;
+pub use life::{Beside, Life};
 pub use reduce::reduce;
 pub use state::{Limits, State};
 
 use crate::config::SiteSettings;
 use crate::decide::api::{LoadReport, Millis};
+use crate::handover::Orders;
 use crate::ledger::{Entry, Told};
 use crate::membership::{Input, NodeList, Notice};
 use bytes::Bytes;
@@ -35,6 +37,36 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u64);
 
+/// A call of an operator on the second address, numbered by the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What an operator wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// To know whether this process could serve.
+    Ready,
+    /// Nothing more to a node.
+    Disable(Arc<str>),
+    /// A node may be given parts again.
+    Enable(Arc<str>),
+    /// Clients are to be sent away.
+    Drain,
+    /// Clients are wanted again.
+    Resume,
+}
+
+/// What an operator is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is so.
+    Yes,
+    /// It is not so.
+    No,
+    /// Nobody has that name.
+    Unknown,
+}
+
 /// A query as a front has read it.
 #[derive(Clone, Debug)]
 pub struct NewQuery {
@@ -156,6 +188,14 @@
     Settings(Box<SiteSettings>, Limits),
     /// It was to be read anew, but makes no sense.
     SettingsRejected,
+    /// An operator's call.
+    Operated(CallId, Operation),
+    /// Orders that are kept where all processes of this mixer find them, and their digest.
+    OrdersFound(Orders, u32),
+    /// Other processes of this mixer have come or gone.
+    Beside(Beside),
+    /// The listener is closed, and all clients that it accepted have been told of.
+    Shut,
     /// A time that [`State::next_timer`] named has come.
     Tick,
     /// The operators want this mixer to end.
@@ -231,8 +271,25 @@
     Probe(ConnId),
     /// End a connection to a node at once; [`Event::Broken`] confirms it.
     Close(ConnId),
-    /// Accept no more clients.
+    /// Empty the listener's queue, and accept no more clients; [`Event::Shut`] confirms it.
     StopAccepting,
+    /// Clients that may be open at once from now on.
+    Room(usize),
+    /// Answer an operator's call.
+    Decided(CallId, Verdict),
+    /// Keep these orders where all processes of this mixer find them; then the call is answered yes.
+    Keep(CallId, Orders),
+    /// The kept orders of this digest are in force here.
+    InForce(u32),
+    /// The mixer's life has gone on.
+    Life {
+        /// From one state.
+        from: &'static str,
+        /// To the next.
+        to: &'static str,
+        /// This process could serve.
+        ready: bool,
+    },
     /// All is done.
     Exit,
     /// A line for the operators.
--- a/src/core/queries.rs
+++ b/src/core/queries.rs
@@ -68,7 +68,7 @@
         let tenant = new.tenant.as_ref().and_then(|name| state.site.tenants.iter().position(|t| t == name));
         let held = Query {
             client,
-            class,
+            class: new.class.into(),
             tenant: (new.tenant, tenant.is_some()),
             share: Share::Within,
             name: new.name,
@@ -134,14 +134,14 @@
 
     /// Enters a query's end in the ledger, if one is kept: before its parts are let go of.
     pub(super) fn enter(&mut self, query: QueryId, outcome: ledger::Outcome) {
-        let State { billing: Some((prices, metrics)), queries, parts, site, counters, .. } = &mut *self.state
+        let State { billing: Some((prices, metrics)), queries, parts, counters, .. } = &mut *self.state
         else {
             return;
         };
         let Some(q) = queries.get(&query) else { return };
         let of_query = || q.parts.iter().filter_map(|p| parts.get(p));
         let served = of_query().filter(|p| p.value.is_some()).count() as u32;
-        let class = site.classes.get(q.class).cloned().unwrap_or_default();
+        let class = q.class.to_string();
         counters.ledger_entries += 1;
         let entry = ledger::Entry {
             at: self.now as i64,
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -1,7 +1,7 @@
 //! The reducer: every state change of the mixer, and the effects that follow from it.
 
 use super::state::{Part, Phase, State, Timer};
-use super::{Effect, Event, Reply};
+use super::{Effect, Event, Life, Reply};
 use crate::decide::api::{self, Action, Millis, Outcome};
 use crate::ledger::{Share, Told};
 use crate::membership::Input;
@@ -40,7 +40,7 @@
                 }
             }
             Event::HealthAsked(client) => {
-                let ready = self.state.terminating.is_none() && !self.state.nodes.is_empty();
+                let ready = self.is_healthy();
                 self.reply(client, Reply::Health { ready });
             }
             Event::CountersAsked(client) => {
@@ -54,8 +54,19 @@
             }
             Event::ProbeEnded { conn, good, report } => self.probe_ended(conn, good, report),
             Event::Broken { conn, why, spoilt } => self.broken(conn, &why, spoilt),
-            Event::Nodes { list, wall_ahead } => self.membership(Input::Discovery(list), Some(wall_ahead)),
-            Event::Membership { input, wall_ahead } => self.membership(input, Some(wall_ahead)),
+            Event::Nodes { list, wall_ahead } => {
+                self.membership(Input::Discovery(list), Some(wall_ahead));
+                self.look_ready(true);
+            }
+            Event::Membership { input, wall_ahead } => {
+                // Without discovery there is nothing to hear.
+                let alone = matches!(input, Input::Begin { known: None, .. });
+                if matches!(input, Input::Begin { .. }) {
+                    self.state.life = Life::Starting { since: now };
+                }
+                self.membership(input, Some(wall_ahead));
+                self.look_ready(alone);
+            }
             Event::WatchAsked => self.state.counters.list_calls += 1,
             Event::WatchLost { unreadable } => {
                 self.state.counters.watches_lost += 1;
@@ -74,6 +85,10 @@
             }
             Event::Settings(site, limits) => self.settings(*site, limits),
             Event::SettingsRejected => self.state.counters.reloads_rejected += 1,
+            Event::Operated(call, operation) => self.operate(call, operation),
+            Event::OrdersFound(orders, digest) => self.orders_found(&orders, digest),
+            Event::Beside(beside) => self.beside(beside),
+            Event::Shut => self.state.accepted_all = true,
             Event::Tick => {
                 while let Some((at, timer)) = self.state.timers.first().copied().filter(|t| t.0 <= now.into())
                 {
@@ -161,7 +176,8 @@
             }
             Timer::Idle(conn) => self.arm_idle(conn),
             Timer::Probe(conn) => self.probe_timed_out(conn),
-            Timer::Drain => self.drain(),
+            Timer::LetGo => self.let_go(),
+            Timer::Ready => self.look_ready(false),
             Timer::Membership => self.membership(Input::Tick, None),
         }
     }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -1,9 +1,10 @@
 //! What the core remembers. Changed by `reduce` alone.
 
-use super::{AttemptId, ClientId, ConnId, Counters};
+use super::{AttemptId, Beside, ClientId, ConnId, Counters, Life};
 use crate::config::SiteSettings;
 use crate::decide::Balancer;
 use crate::decide::api::*;
+use crate::handover::Orders;
 use crate::ledger::{PriceList, Share, TenantMetrics};
 use crate::membership::{GuardSettings, Membership};
 use bytes::Bytes;
@@ -34,6 +35,16 @@
         Limits { node_connections: nodes.max(1), clients: clients.max(1), idle_clients: (sockets / 6).max(1) }
     }
 
+    /// What each of several processes may hold, which the rules see as one.
+    pub fn shared(self, processes: usize) -> Self {
+        let of = |all: usize| (all / processes.max(1)).max(1);
+        Limits {
+            node_connections: of(self.node_connections),
+            clients: of(self.clients),
+            idle_clients: of(self.idle_clients),
+        }
+    }
+
     /// Clients' connections that may be open at once, those being closed included.
     pub fn clients_open(self) -> usize {
         self.clients + self.clients / 9
@@ -61,8 +72,15 @@
     pub(super) names: BTreeSet<Arc<str>>,
     pub(super) timers: BTreeSet<(At, Timer)>,
     pub(super) next_id: u64,
-    /// When the operators asked this mixer to end.
-    pub(super) terminating: Option<Millis>,
+    pub(super) life: Life,
+    /// What operators have ordered by hand.
+    pub(super) orders: Orders,
+    /// Other processes of this mixer, and what this one may hold open when it is alone.
+    pub(super) beside: Beside,
+    pub(super) all_limits: Limits,
+    /// The listener is open; and it is closed, with all that it accepted known.
+    pub(super) accepts: bool,
+    pub(super) accepted_all: bool,
     pub(super) exited: bool,
     /// What use costs, where a ledger is kept.
     pub(super) billing: Option<(PriceList, TenantMetrics)>,
@@ -94,7 +112,8 @@
     Stall(ConnId),
     Idle(ConnId),
     Probe(ConnId),
-    Drain,
+    LetGo,
+    Ready,
     Membership,
 }
 
@@ -111,7 +130,8 @@
 
 pub(super) struct Query {
     pub client: ClientId,
-    pub class: usize,
+    /// Its class's name: the settings may have others by its end.
+    pub class: Arc<str>,
     /// As the client named it, and whether the settings know it.
     pub tenant: (Option<String>, bool),
     pub share: Share,
@@ -269,7 +289,12 @@
             names: BTreeSet::new(),
             timers: BTreeSet::new(),
             next_id: 0,
-            terminating: None,
+            life: Life::Starting { since: 0.0 },
+            orders: Orders::default(),
+            beside: Beside::default(),
+            all_limits: limits,
+            accepts: true,
+            accepted_all: false,
             exited: false,
             billing: None,
         })
@@ -285,6 +310,16 @@
         self.timers.first().map(|(at, _)| at.millis())
     }
 
+    /// Where the mixer stands in its life.
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    /// What operators have ordered by hand.
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
     /// The settings in force.
     pub fn site(&self) -> &SiteSettings {
         &self.site
--- a/src/decide/api.rs
+++ b/src/decide/api.rs
@@ -32,7 +32,7 @@
 }
 
 /// A class of query.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Class {
     /// Full worth is earned within this time.
     pub aim: Millis,
@@ -188,6 +188,9 @@
             ("retry_budget.share", budget.share),
             ("retry_budget.window", budget.window),
         ];
+        if s.max_attempts == 0 {
+            return Err(SettingsError::BadFigure("max_attempts"));
+        }
         if let Some((name, _)) = figures.into_iter().find(|f| !good(f.1)) {
             return Err(SettingsError::BadFigure(name));
         }
@@ -201,7 +204,9 @@
             Self::NoClass => write!(f, "settings name no class"),
             Self::BadClass(i) => write!(f, "class {i} has a figure that makes no sense"),
             Self::BadLayout => write!(f, "the layout needs 1 <= width <= cells"),
-            Self::BadFigure(name) => write!(f, "setting {name} is negative or not a number"),
+            Self::BadFigure(name) => {
+                write!(f, "setting {name} is negative, zero where it must not be, or not a number")
+            }
         }
     }
 }
--- a/src/decide/logic.rs
+++ b/src/decide/logic.rs
@@ -142,13 +142,21 @@
         })
     }
 
-    /// Takes new settings in the place of the old; there must be as many classes and tenants as before.
-    pub fn reconfigure(&mut self, settings: Settings) -> Result<(), SettingsError> {
+    /// Takes new settings in the place of the old. `was` tells which class of the old each of the new ones is, if
+    /// any. Queries that are held go on by the rules they began under.
+    pub fn reconfigure(&mut self, settings: Settings, was: &[Option<usize>]) -> Result<(), SettingsError> {
         settings.validate()?;
         let aims = settings.classes.iter().map(|c| c.aim);
         self.longest_aim = aims.clone().fold(0.0, f64::max);
         self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
         self.quotas = Quotas::new(settings.tenants.iter().map(|t| t.quota_per_s), QUOTA_MOST);
+        let old = |i: usize| was.get(i).copied().flatten();
+        let classes = 0..settings.classes.len();
+        let times = |i| old(i).and_then(|was| self.first_times.get(was).cloned());
+        self.first_times =
+            classes.clone().map(|i| times(i).unwrap_or_else(|| Recent::new(SAMPLES))).collect();
+        let density = |i| old(i).and_then(|was| self.density.get(was).copied()).unwrap_or(0.0);
+        self.density = classes.map(density).collect();
         self.set = settings;
         self.reindex();
         Ok(())
@@ -394,8 +402,8 @@
         // Without second copies a silent replica is left only by a time-out; with them none is needed, and
         // overdue work is dropped where the site does so.
         let left = (q.end_at - self.now).max(self.set.tick);
-        let again = self.set.max_attempts.saturating_sub(p.attempts.len() as u32 + 1);
-        let repeats = self.set.classes[q.class].effect != Effect::Unsafe && again > 0;
+        let again = q.max_attempts.saturating_sub(p.attempts.len() as u32 + 1);
+        let repeats = q.class.effect != Effect::Unsafe && again > 0;
         // What is typical must be known: patience with a silent server at the start would be for nothing.
         let patient = if self.latencies.len() < ENOUGH { 0.0 } else { self.tail * PATIENT_TAILS };
         let timeout = match self.set.second_copies || !repeats {
@@ -413,14 +421,14 @@
     /// May this part have another attempt, by its class's effect and the limits?
     fn may_send(&self, p: &Part) -> bool {
         let Some(q) = self.queries.get(&p.query) else { return false };
-        if p.over || p.ok || p.attempts.len() >= self.set.max_attempts.max(1) as usize {
+        if p.over || p.ok || p.attempts.len() >= q.max_attempts.max(1) as usize {
             return false;
         }
         let out = p.live().count();
         if out > 1 || out == 1 && !self.set.second_copies {
             return false;
         }
-        match (self.set.classes[q.class].effect, p.maybe_ran()) {
+        match (q.class.effect, p.maybe_ran()) {
             (_, None) | (Effect::Safe, _) => true,
             (Effect::Unsafe, Some(_)) => false,
             (Effect::Keyed { window }, Some(at)) => self.now <= at + window - self.set.tick,
@@ -472,7 +480,7 @@
             }
             return;
         }
-        let class = &self.set.classes[q.class];
+        let class = &q.class;
         let need = if q.second { 1.0 } else { class.need } - ROUNDING;
         let floor = class.floor.min(need + ROUNDING) - ROUNDING;
         let (mut ok, mut possible, mut firm, mut out) = (0.0, 0.0, 0.0, 0);
@@ -554,7 +562,7 @@
         // Stops waste at shards with one full holder left. Harm: a report of too much, until it fades.
         let (query, shard) = (self.parts[&part].query, self.parts[&part].shard);
         let q = &self.queries[&query];
-        let class = &self.set.classes[q.class];
+        let class = &q.class;
         if class.floor < class.need - ROUNDING {
             if self.against_others(shard) < CHANCE_LEAST {
                 return 0.0; // the others may still make an answer
@@ -778,7 +786,17 @@
         let urge = (self.tail / (LOOK_TAIL * self.shortest_aim)).max(self.bad / LOOK_BAD);
         let pays = self.set.probe_price <= LOOK_WORTH;
         let looks = pays && self.draw.uniform() < (2.0 * urge - 1.0).max(LOOK_LEAST);
-        let query = Query { looks, class, aim_at, end_at, parts: vec![], second: false, first_whole: false };
+        let (class_of, max_attempts) = (*c, self.set.max_attempts);
+        let query = Query {
+            looks,
+            class: class_of,
+            max_attempts,
+            aim_at,
+            end_at,
+            parts: vec![],
+            second: false,
+            first_whole: false,
+        };
         self.queries.insert(id, query);
         self.open += 1;
         self.add_parts(id, specs);
@@ -876,7 +894,7 @@
     /// Ends a query: with an answer if one may be given, else turned away where that is honest, else failed.
     fn finish(&mut self, id: QueryId, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&id) else { return };
-        let class = &self.set.classes[q.class];
+        let class = &q.class;
         let parts = || q.parts.iter().filter_map(|p| self.parts.get(p));
         let ok: f64 = parts().filter(|p| p.ok).map(|p| p.weight).sum();
         let waiting = q.second && q.parts.is_empty();
--- a/src/decide/state.rs
+++ b/src/decide/state.rs
@@ -1,6 +1,6 @@
 //! What the module remembers of replicas, parts and queries, and its seeded draws. No decisions.
 
-use super::api::*;
+use crate::decide::api::*;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -290,7 +290,9 @@
 pub struct Query {
     /// Its draws are asked by probes.
     pub looks: bool,
-    pub class: usize,
+    /// Its class's rules, and the attempts a part may have, as they were when it came.
+    pub class: Class,
+    pub max_attempts: u32,
     pub aim_at: f64,
     pub end_at: f64,
     pub parts: Vec<PartId>,
--- a/src/json.rs
+++ b/src/json.rs
@@ -2,6 +2,7 @@
 
 use miniserde::json::{Number, Value};
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
 
@@ -31,7 +32,41 @@
     errors: Option<Rc<RefCell<Vec<FieldError>>>>,
 }
 
+/// The keys of a JSON text, as `settings.limits.maxOpen`; of a list those that all of its entries have, as
+/// `settings.categories[].name`.
+pub type Shape = BTreeSet<String>;
+
+fn shape(value: &Value, path: &str, into: &mut Shape) {
+    match value {
+        Value::Object(object) => {
+            for (name, value) in object.iter() {
+                let path = format!("{path}.{name}");
+                shape(value, &path, into);
+                into.insert(path);
+            }
+        }
+        Value::Array(entries) => {
+            let each = |entry| {
+                let mut keys = Shape::new();
+                shape(entry, &format!("{path}[]"), &mut keys);
+                keys
+            };
+            into.extend(entries.iter().map(each).reduce(|a, b| &a & &b).unwrap_or_default());
+        }
+        _ => {}
+    }
+}
+
 impl<'a> Field<'a> {
+    /// The keys below this field.
+    pub fn shape(&self) -> Shape {
+        let mut keys = Shape::new();
+        if let Some(value) = self.value {
+            shape(value, &self.path, &mut keys);
+        }
+        keys
+    }
+
     /// The whole text.
     pub fn root(value: &'a Value) -> Self {
         Field { path: String::new(), value: Some(value), errors: None }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod core;
 pub mod decide;
 pub mod gossip;
+pub mod handover;
 pub mod inventory;
 pub mod json;
 pub mod ledger;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -81,6 +81,12 @@
         Notice::Unconfirmed { source, digest } => {
             warn!(file = file(source), digest = &**digest, "confirmation of a list that is not held");
         }
+        Notice::ByHand { name, out: true } => {
+            info!(node = &**name, "node out by hand");
+        }
+        Notice::ByHand { name, out: false } => {
+            info!(node = &**name, "node back by hand");
+        }
         Notice::SharedAddress { address, name } => {
             warn!(address = &**address, node = &**name, "two names for one address");
         }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,6 +5,7 @@
 //! that is empty, loses too much at once or ends within a line is held back, and the last good one stands until the
 //! new one is confirmed; its drains are taken all the same. It never reads a file, a socket or a clock.
 
+mod by_hand;
 mod guard;
 mod history;
 mod looks;
@@ -14,6 +15,7 @@
 mod record;
 mod state;
 
+pub use by_hand::Order;
 pub use guard::{GuardSettings, HoldReason, Layout, Loss};
 pub use history::{Change, Difference, History, Version};
 pub use looks::{Looks, Opened, Verdict};
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -4,7 +4,7 @@
 use super::history::{Change, Difference, History, Version};
 use super::merge::{Merged, Statement, merge, of_file};
 use super::record::{FileList, Summary};
-use super::{Millis, NodeEntry, NodeList, NodeState, SourceId};
+use super::{Millis, NodeEntry, NodeList, NodeState, Order, SourceId};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
@@ -31,6 +31,10 @@
     Confirmed(u16, Arc<str>),
     /// The settings give another layout.
     Layout(Layout),
+    /// All orders about nodes by hand, in the place of those before.
+    ByHand(BTreeMap<Arc<str>, Order>),
+    /// The core wants the whole list once more.
+    Again,
     /// A time that was asked for by [`Output::Wake`] has come.
     Tick,
 }
@@ -103,6 +107,13 @@
         /// What it named.
         digest: Arc<str>,
     },
+    /// An operator has taken a node out or back by hand.
+    ByHand {
+        /// Which.
+        name: Arc<str>,
+        /// Out, or back.
+        out: bool,
+    },
     /// Two sources give two names to one address.
     SharedAddress {
         /// The address.
@@ -148,6 +159,8 @@
     addresses: HashMap<Arc<str>, u32>,
     history: History,
     number: u64,
+    /// Orders stand over what the sources say.
+    by_hand: BTreeMap<Arc<str>, Order>,
 }
 
 impl Membership {
@@ -165,11 +178,13 @@
             addresses: HashMap::new(),
             history: History::default(),
             number: 0,
+            by_hand: BTreeMap::new(),
         }
     }
 
     /// Takes an input in; what follows is added to the outputs in order.
     pub fn handle(&mut self, now: Millis, input: Input, outputs: &mut Vec<Output>) {
+        let from = outputs.len();
         match input {
             Input::Begin { known, files } => self.begin(now, known, files, outputs),
             Input::Discovery(list) => self.discovery(now, list, outputs),
@@ -179,8 +194,41 @@
             }
             Input::Confirmed(number, digest) => self.confirmed(now, number, digest, outputs),
             Input::Layout(layout) => self.layout = layout,
+            Input::ByHand(orders) => self.ordered(orders, outputs),
+            Input::Again => outputs.push(Output::List(self.whole())),
             Input::Tick => self.tick(now, outputs),
         }
+        for output in &mut outputs[from..] {
+            let Output::List(list) = output else { continue };
+            for entry in &mut list.entries {
+                if let Some(order) = self.by_hand.get(&entry.name) {
+                    order.over(entry);
+                }
+            }
+        }
+    }
+
+    /// All nodes in effect, as the sources have them.
+    fn whole(&self) -> NodeList {
+        let entries = self.nodes().into_values().map(|merged| merged.entry.clone()).collect();
+        NodeList { generation: self.number, complete: true, entries }
+    }
+
+    fn ordered(&mut self, orders: BTreeMap<Arc<str>, Order>, out: &mut Vec<Output>) {
+        let before = std::mem::replace(&mut self.by_hand, orders);
+        let names: BTreeSet<&Arc<str>> = before.keys().chain(self.by_hand.keys()).collect();
+        let mut entries = Vec::new();
+        for name in names.into_iter().filter(|name| before.get(*name) != self.by_hand.get(*name)) {
+            let is_out = |orders: &BTreeMap<Arc<str>, Order>| orders.get(name).is_some_and(|o| o.out);
+            if is_out(&before) != is_out(&self.by_hand) {
+                let notice = Notice::ByHand { name: name.clone(), out: is_out(&self.by_hand) };
+                out.push(Output::Notice(notice));
+            }
+            entries.extend(self.effective.get(name).map(|merged| merged.entry.clone()));
+        }
+        if !entries.is_empty() {
+            out.push(Output::List(NodeList { generation: self.number, complete: false, entries }));
+        }
     }
 
     /// The nodes in effect, by name.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -20,8 +20,9 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tracing::warn;
 
-/// An empty line comes every 2 s: two missed and a bit mean that the watch has died without a word.
-const SILENCE: Duration = Duration::from_millis(4500);
+/// An empty line comes every 2 s: one missed and a second mean that the watch has died without a word. What it misses
+/// counts as told 6 s after it fell silent: the call that follows has to be answered before then.
+const SILENCE: Duration = Duration::from_millis(3000);
 /// A line that has begun is in by then: against an answer that trickles, on which no silence falls.
 const LINE_WITHIN: Duration = Duration::from_secs(10);
 /// The agent is on this machine: a dial that takes longer is lost.
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,216 @@
+//! Keeps the operators' orders where all processes of this mixer find them, and looks who they are: a thread beside
+//! the event loop, which never waits for a disk. What is kept and shared is up to [`crate::handover`].
+
+use super::{Input, ToCore};
+use crate::api::Millis;
+use crate::clock::Clock;
+use crate::core::{Beside, Event, Verdict};
+use crate::handover::{Folder, Found, Order, Orders, Seat, Subject, Word, snapshot};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::io;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tracing::{error, info, warn};
+
+/// The folder is looked at so often on average: far within the second in which an order has to hold everywhere.
+const LOOK: Duration = Duration::from_millis(40);
+/// And so often while a call waits for other processes.
+const LOOK_WAITING: Duration = Duration::from_millis(5);
+/// A call waits for the other processes for so long: an answer is owed within 1 s, and the order counts from then on.
+const OTHERS_WITHIN: Duration = Duration::from_millis(600);
+/// What has been back for so long is let go of in the file; every process has read it hundreds of times.
+const REMEMBERED: Millis = 600_000.0;
+
+/// What the thread is told.
+enum ToKeeper {
+    /// Keep these, then answer.
+    Keep(Orders, oneshot::Sender<Verdict>),
+    /// The kept orders of a digest are in force.
+    InForce(u32),
+    /// Whether this process could serve.
+    Ready(bool),
+}
+
+/// The way to the thread.
+pub(crate) struct Keeper {
+    to: Sender<ToKeeper>,
+}
+
+impl Keeper {
+    /// Starts the thread on a folder; what is kept there comes first, for the time before any client.
+    pub fn start(folder: Folder, seed: u64, to_core: ToCore, clock: Clock) -> io::Result<(Self, Orders)> {
+        let mark = folder.mark();
+        let orders = told(folder.read()?);
+        let seat = folder.sit()?;
+        if seat.is_none() {
+            warn!("no seat is free for this process: others will not see it");
+        }
+        let (to, inbox) = channel();
+        let digest = snapshot::digest(&orders);
+        let draw = Pcg64Mcg::seed_from_u64(seed.rotate_left(29));
+        let word = Word { ready: false, orders: digest };
+        let beside = Beside::default();
+        let keeping = Keeping {
+            folder,
+            seat,
+            word,
+            mark,
+            told: digest,
+            beside,
+            waiting: Vec::new(),
+            to_core,
+            clock,
+            draw,
+        };
+        thread::Builder::new().name("orders".to_owned()).spawn(move || keeping.run(&inbox))?;
+        Ok((Keeper { to }, orders))
+    }
+
+    /// Keeps orders; the answer is yes once they hold in every process of this mixer that lives.
+    pub fn keep(&self, orders: Orders, answer: oneshot::Sender<Verdict>) {
+        let _ = self.to.send(ToKeeper::Keep(orders, answer));
+    }
+
+    pub fn in_force(&self, digest: u32) {
+        let _ = self.to.send(ToKeeper::InForce(digest));
+    }
+
+    pub fn ready(&self, ready: bool) {
+        let _ = self.to.send(ToKeeper::Ready(ready));
+    }
+}
+
+/// The orders of a file; one that is not to be believed is told.
+fn told(found: Found) -> Orders {
+    match found {
+        Found::Nothing => Orders::default(),
+        Found::Orders(orders) => {
+            let is_out = |(_, o): &(&Subject, &Order)| o.out;
+            info!(standing = orders.iter().filter(is_out).count(), "kept orders read");
+            orders
+        }
+        Found::Aside(path, why) => {
+            error!(path = %path.display(), "the file of orders {why}; moved aside, what it held is not in force");
+            Orders::default()
+        }
+    }
+}
+
+/// A call whose order is kept, until others hold it too.
+struct Waiting {
+    answer: oneshot::Sender<Verdict>,
+    until: Instant,
+}
+
+struct Keeping {
+    folder: Folder,
+    seat: Option<Seat>,
+    word: Word,
+    /// Of the file as last read.
+    mark: Option<(u64, i64, i64, u64)>,
+    /// Digest of what the core was last told of it.
+    told: u32,
+    beside: Beside,
+    waiting: Vec<Waiting>,
+    to_core: ToCore,
+    clock: Clock,
+    draw: Pcg64Mcg,
+}
+
+impl Keeping {
+    fn run(mut self, inbox: &Receiver<ToKeeper>) {
+        self.say();
+        loop {
+            // Spread, so that processes started together do not look together.
+            let spread = (self.draw.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+            let wait = if self.waiting.is_empty() { LOOK.mul_f64(0.5 + spread) } else { LOOK_WAITING };
+            match inbox.recv_timeout(wait) {
+                Ok(ToKeeper::Keep(orders, answer)) => self.keep(&orders, answer),
+                Ok(ToKeeper::InForce(digest)) => {
+                    self.word.orders = digest;
+                    self.say();
+                }
+                Ok(ToKeeper::Ready(ready)) => {
+                    self.word.ready = ready;
+                    self.say();
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if self.look().is_err() {
+                return;
+            }
+        }
+    }
+
+    fn say(&mut self) {
+        if let Some(Err(e)) = self.seat.as_mut().map(|seat| seat.say(&self.word)) {
+            warn!("this process's seat: {e}");
+        }
+    }
+
+    fn keep(&mut self, orders: &Orders, answer: oneshot::Sender<Verdict>) {
+        let now = self.clock.now() + self.clock.wall_ahead();
+        match self.folder.merge(orders, now - REMEMBERED) {
+            Ok((kept, found)) => {
+                if let Found::Aside(..) = found {
+                    told(found);
+                }
+                // These are in force already: the core gave them.
+                if kept == *orders {
+                    (self.mark, self.told) = (self.folder.mark(), snapshot::digest(&kept));
+                    self.word.orders = self.told;
+                    self.say();
+                }
+                self.waiting.push(Waiting { answer, until: Instant::now() + OTHERS_WITHIN });
+            }
+            // The order holds here all the same; the next process of this mixer will not know.
+            Err(e) => {
+                error!("orders cannot be kept: {e}; they hold in this process alone");
+                let _ = answer.send(Verdict::Yes);
+            }
+        }
+    }
+
+    /// Looks for other processes and for orders that they were given.
+    fn look(&mut self) -> Result<(), super::Gone> {
+        let others = self.folder.others(self.seat.as_ref());
+        let ready = others.iter().any(|o| o.word.as_ref().is_some_and(|w| w.ready));
+        let beside = Beside { others: others.len(), ready };
+        if beside != self.beside {
+            info!(others = beside.others, ready, "processes of this mixer beside this one");
+            self.beside = beside;
+            self.tell(Event::Beside(beside))?;
+        }
+        let mark = self.folder.mark();
+        if mark != self.mark {
+            match self.folder.read() {
+                Ok(found) => {
+                    self.mark = mark;
+                    let orders = told(found);
+                    self.told = snapshot::digest(&orders);
+                    self.tell(Event::OrdersFound(orders, self.told))?;
+                }
+                Err(e) => warn!("the file of orders: {e}"),
+            }
+        }
+        let behind = |o: &crate::handover::Other| o.word.as_ref().is_none_or(|w| w.orders != self.told);
+        let all = self.word.orders == self.told && !others.iter().any(behind);
+        let now = Instant::now();
+        for waiting in std::mem::take(&mut self.waiting) {
+            if all || waiting.until <= now {
+                let _ = waiting.answer.send(Verdict::Yes);
+            } else {
+                self.waiting.push(waiting);
+            }
+        }
+        Ok(())
+    }
+
+    fn tell(&self, event: Event) -> Result<(), super::Gone> {
+        self.to_core.blocking_send(Input::Event(event)).map_err(|_| super::Gone)
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,7 +4,7 @@
 use super::chunked::Chunks;
 use super::query::{Body, Range, is_name};
 use super::{Input, ToClient, ToCore};
-use crate::core::{ClientId, Event, Limits, NewQuery, Reply};
+use crate::core::{ClientId, Event, NewQuery, Reply};
 use crate::decide::api::Millis;
 use bytes::{Buf, Bytes, BytesMut};
 use miniserde::{Serialize, json};
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::warn;
 
@@ -38,45 +38,74 @@
 /// An idle connection is closed after so long, one that never asked too: clients that ask once and keep their
 /// connection for good take the places of others, theirs as much as ours.
 const IDLE: Duration = Duration::from_millis(2100);
+/// A connection that is to be closed is read for so long before: what was sent by then is on its way through the loop.
+const CLOSE_LOOK: Duration = Duration::from_millis(2);
 /// Most bytes read at once.
 const READ: usize = 4 << 10;
 const DRAIN_READ: usize = 16 << 10;
 /// Bytes that a client may send ahead of its answer.
 const AHEAD_MOST: usize = 4 << 10;
 
-/// Accepts clients until aborted.
-pub(crate) async fn accept(listener: TcpListener, to_core: ToCore, limits: Limits) {
-    // Beyond the number at which the core closes idle clients there is room for a few more: the others wait in the
-    // listener's queue, so that descriptors never run out.
-    let room = Arc::new(Semaphore::new(limits.clients_open()));
+/// Accepts clients until the other end of `stop` is gone; then empties the listener's queue, closes it and says so.
+/// The room is for a few more than the number at which the core closes idle clients: the others wait in the queue, so
+/// that descriptors never run out.
+pub(crate) async fn accept(
+    listener: TcpListener,
+    to_core: ToCore,
+    room: Arc<Semaphore>,
+    mut stop: oneshot::Receiver<()>,
+) {
     let mut next = 0;
     loop {
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let client = ClientId(next);
-                next += 1;
-                let to_core = to_core.clone();
-                tokio::task::spawn_local(async move {
-                    serve(stream, client, &to_core).await;
-                    drop(permit);
-                });
-            }
-            Err(e) => {
+        let came = tokio::select! {
+            biased;
+            _ = &mut stop => break,
+            came = async {
+                let permit = room.clone().acquire_owned().await;
+                (permit, listener.accept().await)
+            } => came,
+        };
+        match came {
+            (Ok(permit), Ok((stream, _))) => take(stream, &mut next, permit, &to_core).await,
+            (_, Err(e)) => {
                 warn!("accepting clients: {e}");
                 sleep(Duration::from_millis(10)).await; // against spinning while descriptors are short
             }
+            (Err(_), _) => return,
+        }
+    }
+    // A connection that the kernel has taken and nobody reads is a request turned back: by the plain listener, which
+    // asks the kernel itself and not what the event loop last heard of it.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok(permit) = room.clone().try_acquire_owned() {
+            let Ok((stream, _)) = listener.accept() else { break };
+            if stream.set_nonblocking(true).is_ok()
+                && let Ok(stream) = TcpStream::from_std(stream)
+            {
+                take(stream, &mut next, permit, &to_core).await;
+            }
         }
     }
+    let _ = to_core.send(Input::Event(Event::Shut)).await;
 }
 
-async fn serve(stream: TcpStream, client: ClientId, to_core: &ToCore) {
-    let _ = stream.set_nodelay(true);
+/// A client has come: the core hears of it before anything else does.
+async fn take(stream: TcpStream, next: &mut u64, permit: OwnedSemaphorePermit, to_core: &ToCore) {
+    let client = ClientId(*next);
+    *next += 1;
     // The reply, and one order to close on top of it.
     let (to_client, orders) = mpsc::channel(4);
-    if to_core.send(Input::Client(client, to_client)).await.is_err() {
-        return;
+    if to_core.send(Input::Client(client, to_client)).await.is_ok() {
+        let to_core = to_core.clone();
+        tokio::task::spawn_local(async move {
+            serve(stream, client, orders, &to_core).await;
+            drop(permit);
+        });
     }
+}
+
+async fn serve(stream: TcpStream, client: ClientId, orders: mpsc::Receiver<ToClient>, to_core: &ToCore) {
+    let _ = stream.set_nodelay(true);
     let since = Instant::now();
     let mut session =
         Session { stream, client, to_core, orders, input: BytesMut::new(), since, closing: false };
@@ -142,7 +171,7 @@
     /// Reads one request; none where the connection ends between requests.
     async fn request(&mut self, first: bool) -> io::Result<Option<Result<Request, Reject>>> {
         let mut by = self.since + IDLE;
-        let mut begun = None;
+        let (mut begun, mut looked) = (None, false);
         loop {
             if begun.is_none() && !self.input.is_empty() {
                 begun = Some(Instant::now());
@@ -158,6 +187,10 @@
                 Err(reject) => return Ok(Some(Err(reject))),
             }
             match begun {
+                // What is on its way is looked for once more: a close that crosses a request turns it back.
+                None if self.closing && !std::mem::replace(&mut looked, true) => {
+                    by = by.min(Instant::now() + CLOSE_LOOK);
+                }
                 None if self.closing => return Ok(None),
                 Some(begun) if self.closing => by = by.min(begun + REQUEST_HURRIED),
                 _ => {}
--- /dev/null
+++ b/src/net/management.rs
@@ -0,0 +1,153 @@
+//! The second address: operators' calls, one to a connection. hyper reads and writes them; what they mean is up to the
+//! core. Its queue is the first that the core's task looks at, so that no load makes an operator wait.
+
+use crate::core::{Operation, Verdict};
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+/// Callers at once; beyond them the one that has waited longest without a whole call goes. Against callers that hold a
+/// connection and say nothing: descriptors are few.
+const CALLERS_MOST: usize = 16;
+/// A call is in by then: whoever needs longer than an answer may take is not asking.
+const CALL_WITHIN: Duration = Duration::from_millis(900);
+/// And its answer is taken by then.
+const DONE_WITHIN: Duration = Duration::from_secs(3);
+/// A node's name is no longer.
+const NAME_MOST: usize = 512;
+
+/// A call, and where its answer goes.
+pub(crate) type Call = (Operation, oneshot::Sender<Verdict>);
+
+/// Callers whose call is not in yet, the longest waiting first.
+type Silent = Rc<RefCell<VecDeque<(u64, AbortHandle)>>>;
+
+/// Serves operators until aborted.
+pub(crate) async fn serve(listener: TcpListener, calls: mpsc::Sender<Call>) {
+    let silent = Silent::default();
+    for number in 0.. {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (calls, whole) = (calls.clone(), silent.clone());
+                let task = tokio::task::spawn_local(caller(stream, number, calls, whole));
+                let mut silent = silent.borrow_mut();
+                silent.retain(|(_, task)| !task.is_finished());
+                silent.push_back((number, task.abort_handle()));
+                if silent.len() > CALLERS_MOST
+                    && let Some((_, longest)) = silent.pop_front()
+                {
+                    longest.abort();
+                }
+            }
+            Err(e) => {
+                warn!("accepting operators: {e}");
+                tokio::time::sleep(Duration::from_millis(10)).await; // against spinning while descriptors are short
+            }
+        }
+    }
+}
+
+async fn caller(stream: TcpStream, number: u64, calls: mpsc::Sender<Call>, silent: Silent) {
+    let _ = stream.set_nodelay(true);
+    let (begun, in_time) = oneshot::channel();
+    let begun = RefCell::new(Some(begun));
+    let service = service_fn(|request: Request<Incoming>| {
+        silent.borrow_mut().retain(|(n, _)| *n != number);
+        begun.borrow_mut().take().map(|begun| begun.send(()));
+        answer(request, calls.clone())
+    });
+    let mut http = http1::Builder::new();
+    http.keep_alive(false).max_buf_size(16 << 10);
+    let connection = http.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = &mut connection => {}
+        call = timeout(CALL_WITHIN, in_time) => if call.is_ok() {
+            let _ = timeout(DONE_WITHIN, connection).await;
+        },
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    calls: mpsc::Sender<Call>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, text) = match operation(request.method(), request.uri().path()) {
+        Err(status) => (status, "no such call\n"),
+        Ok(operation) => {
+            let words = format!("{operation:?}");
+            let asks = operation == Operation::Ready;
+            let (to, verdict) = oneshot::channel();
+            let verdict = match calls.send((operation, to)).await {
+                Ok(()) => verdict.await.unwrap_or(Verdict::No),
+                Err(_) => Verdict::No,
+            };
+            if !asks {
+                info!(call = words, verdict = ?verdict, "operator's call");
+            }
+            match verdict {
+                Verdict::Yes => (StatusCode::OK, "yes\n"),
+                Verdict::No => (StatusCode::SERVICE_UNAVAILABLE, "no\n"),
+                Verdict::Unknown => (StatusCode::NOT_FOUND, "no such leaf server\n"),
+            }
+        }
+    };
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    let plain = header::HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    Ok(response)
+}
+
+fn operation(method: &Method, path: &str) -> Result<Operation, StatusCode> {
+    let words: Vec<&str> = path.strip_prefix("/-/").ok_or(StatusCode::NOT_FOUND)?.split('/').collect();
+    let node = |id: &str| match id.is_empty() || id.len() > NAME_MOST {
+        true => Err(StatusCode::NOT_FOUND),
+        false => percent_encoding::percent_decode_str(id)
+            .decode_utf8()
+            .map(|id| id.as_ref().into())
+            .map_err(|_| StatusCode::BAD_REQUEST),
+    };
+    let (wanted, operation) = match words.as_slice() {
+        ["ready"] => (Method::GET, Operation::Ready),
+        ["drain"] => (Method::POST, Operation::Drain),
+        ["resume"] => (Method::POST, Operation::Resume),
+        ["leaf-servers", id, "disable"] => (Method::POST, Operation::Disable(node(id)?)),
+        ["leaf-servers", id, "enable"] => (Method::POST, Operation::Enable(node(id)?)),
+        _ => return Err(StatusCode::NOT_FOUND),
+    };
+    if *method == wanted { Ok(operation) } else { Err(StatusCode::METHOD_NOT_ALLOWED) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_told_by_method_and_path() {
+        let of = |method: Method, path: &str| operation(&method, path);
+        assert_eq!(of(Method::GET, "/-/ready"), Ok(Operation::Ready));
+        assert_eq!(of(Method::POST, "/-/leaf-servers/s-1/disable"), Ok(Operation::Disable("s-1".into())));
+        assert_eq!(of(Method::POST, "/-/leaf-servers/s%2F1/enable"), Ok(Operation::Enable("s/1".into())));
+        assert_eq!(of(Method::POST, "/-/ready"), Err(StatusCode::METHOD_NOT_ALLOWED));
+        assert_eq!(of(Method::GET, "/-/drain"), Err(StatusCode::METHOD_NOT_ALLOWED));
+        for path in ["/", "/-/", "/-/leaf-servers//disable", "/-/leaf-servers/a/b/disable", "/ready"] {
+            assert_eq!(of(Method::POST, path), Err(StatusCode::NOT_FOUND), "{path}");
+        }
+        assert_eq!(of(Method::POST, "/-/leaf-servers/%ff/enable"), Err(StatusCode::BAD_REQUEST));
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,28 +5,35 @@
 mod chunked;
 mod discovery;
 mod flight;
+mod handover;
 mod http;
 mod inventory;
 mod leaf;
 mod ledger;
+mod management;
 mod query;
 
 use crate::clock::Clock;
-use crate::config::{Config, ConfigError};
-use crate::core::{AttemptId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, reduce};
+use crate::config::Config;
+use crate::core::{
+    AttemptId, CallId, CallPart, ClientId, ConnId, Effect, Event, Limits, Reply, State, Verdict, reduce,
+};
+use crate::handover::{Folder, Orders, snapshot};
 use crate::ledger::Told;
 use crate::logging;
 use crate::membership::{self, Pace};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
-use tracing::{debug, error, info, trace};
+use tracing::{debug, error, info, trace, warn};
 
 pub use inventory::confirmation_path;
 
@@ -35,6 +42,14 @@
 /// Orders that wait for a connection's task, at most; one that takes none for so long is lost.
 const ORDERS: usize = 256;
 
+/// Connections that the kernel holds for the listener, as tokio has it.
+const BACKLOG: u32 = 1024;
+/// Operators' calls that wait for the core.
+const CALLS: usize = 64;
+
+/// The core has ended.
+pub(crate) struct Gone;
+
 /// What the tasks send to the one that holds the core.
 pub(crate) enum Input {
     /// A client has come; what it is told goes there.
@@ -68,15 +83,41 @@
 /// # Errors
 /// What keeps the program from starting.
 pub async fn serve(config: Config) -> io::Result<()> {
-    let listener = TcpListener::bind(config.listen).await?;
-    serve_on(listener, config).await
+    serve_on(listen(config.listen, config.management.is_some())?, config).await
+}
+
+/// Listens at an address. Where the mixer has a second address another process of it may come to listen beside this
+/// one; elsewhere a second one started by mistake must fail.
+fn listen(address: SocketAddr, beside_others: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if beside_others {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// The orders kept for this mixer, and the way to keep more; none where there is no second address to give any.
+fn keep_orders(config: &Config, to_core: &ToCore, clock: &Clock) -> (Option<handover::Keeper>, Orders) {
+    let below = std::env::var_os("TMPDIR").filter(|_| config.management.is_some());
+    let Some(below) = below else { return (None, Orders::default()) };
+    let started = Folder::open(Path::new(&below), &config.name, &config.listen.to_string())
+        .and_then(|folder| handover::Keeper::start(folder, config.seed, to_core.clone(), clock.clone()));
+    match started {
+        Ok((keeper, orders)) => (Some(keeper), orders),
+        Err(e) => {
+            error!("orders cannot be kept below {}: {e}; they hold in this process alone", below.display());
+            (None, Orders::default())
+        }
+    }
 }
 
 /// The same on a listener that is bound already.
 ///
 /// # Errors
 /// What keeps the program from starting.
-pub async fn serve_on(listener: TcpListener, config: Config) -> io::Result<()> {
+pub async fn serve_on(listener: TcpListener, mut config: Config) -> io::Result<()> {
     let clock = Rc::new(Clock::system());
     // Taken before anything else: a signal without a handler would end the program.
     let mut terminate = signal(SignalKind::terminate())?;
@@ -84,13 +125,23 @@
     let mut report = signal(SignalKind::user_defined1())?;
     let mut reload = signal(SignalKind::hangup())?;
     let limits = Limits::of(config.sockets);
+    let mut shape = std::mem::take(&mut config.shape);
+    let (to_core, mut inbox) = mpsc::channel(INBOX);
+    let (keeper, orders) = keep_orders(&config, &to_core, &clock);
     debug!("{limits:?} {:?}", config.site);
     let inventory = config.operator.inventory;
     let guard = inventory.as_ref().map(|i| i.guard).unwrap_or_default();
     let mut state = State::new(config.site, limits, config.seed, guard).map_err(io::Error::other)?;
     let address = listener.local_addr()?;
-    let (to_core, mut inbox) = mpsc::channel(INBOX);
-    let accepting = tokio::task::spawn_local(http::accept(listener, to_core.clone(), limits));
+    let room = Arc::new(Semaphore::new(limits.clients_open()));
+    let (stop_accepting, stop) = oneshot::channel();
+    let (call, mut calls) = mpsc::channel(CALLS);
+    let mut managing = None;
+    if let Some(at) = config.management {
+        let listener = listen(at, false)?;
+        info!("sailmux {}: operators on {}", config.name, listener.local_addr()?);
+        managing = Some(tokio::task::spawn_local(management::serve(listener, call)));
+    }
     let generation = Rc::new(Cell::new(config.known.generation));
     let wall_ahead = clock.wall_ahead();
     // Files take the place of discovery unless they are set to stand beside it.
@@ -103,7 +154,11 @@
         to_core,
         clients: HashMap::new(),
         conns: HashMap::new(),
-        accepting,
+        stop_accepting: Some(stop_accepting),
+        room: (room.clone(), limits.clients_open()),
+        calls: HashMap::new(),
+        next_call: 0,
+        keeper,
         stop_flight: None,
         inventories: paths,
         ledger: None,
@@ -112,6 +167,8 @@
         state.keep_ledger(set.prices.clone());
         hub.ledger = Some(ledger::Keeper::start(set, &config.name, hub.to_core.clone(), (*clock).clone())?);
     }
+    let digest = snapshot::digest(&orders);
+    hub.carry_out(reduce(&mut state, clock.now(), Event::OrdersFound(orders, digest)));
     let begin = Event::Membership { input: membership::Input::Begin { known, files: lists }, wall_ahead };
     hub.carry_out(reduce(&mut state, clock.now(), begin));
     if let Some(inventory) = inventory {
@@ -120,6 +177,7 @@
     let pace = |state: &State| Pace::new(config.seed, state.site().module.aggregators);
     let mut watch =
         discovers.then(|| Watch::start(config.discovery, &generation, pace(&state), &hub.to_core, &clock));
+    tokio::task::spawn_local(http::accept(listener, hub.to_core.clone(), room, stop));
     info!("sailmux {}: serving on {address}", config.name);
     let (stop_flight, stopped) = oneshot::channel();
     if let Some(listen) = config.operator.flight_listen {
@@ -133,6 +191,17 @@
         let wake = hub.ledger.as_ref().and_then(ledger::Keeper::due).map_or(wake, |due| wake.min(due));
         let wake = Instant::from_std(clock.instant(wake));
         let event = tokio::select! {
+            // Operators first: they are owed an answer within a second whatever the load.
+            biased;
+            Some((operation, answer)) = calls.recv(), if managing.is_some() => {
+                Event::Operated(hub.called(answer), operation)
+            }
+            _ = terminate.recv() => Event::Terminate,
+            _ = interrupt.recv() => Event::Terminate,
+            () = sleep_until(wake) => {
+                hub.release(clock.now());
+                Event::Tick
+            }
             input = inbox.recv() => match input {
                 Some(Input::Event(event)) => event,
                 Some(Input::Ledger(told)) => {
@@ -145,18 +214,13 @@
                 }
                 None => break Ok(()),
             },
-            () = sleep_until(wake) => {
-                hub.release(clock.now());
-                Event::Tick
-            }
-            _ = terminate.recv() => Event::Terminate,
-            _ = interrupt.recv() => Event::Terminate,
             _ = report.recv() => {
                 eprint!("{}", state.counters_text());
                 continue;
             }
-            _ = reload.recv() => match reloaded(&state) {
+            _ = reload.recv() => match Config::reload(&shape) {
                 Ok(new) => {
+                    shape = new.shape;
                     // Discovery may have moved; a watch that stays is left alone.
                     if watch.as_ref().is_some_and(|w| w.address != new.discovery) {
                         watch = Some(Watch::start(new.discovery, &generation, pace(&state), &hub.to_core, &clock));
@@ -190,14 +254,6 @@
     done
 }
 
-/// The configuration as it stands in its file now, if this mixer can go on with it.
-fn reloaded(state: &State) -> Result<Config, ConfigError> {
-    let new = Config::reload()?;
-    let file = std::env::var("RELAY_CONFIG").unwrap_or_default();
-    new.site.may_follow(state.site()).map_err(|e| ConfigError::Field(file, e))?;
-    Ok(new)
-}
-
 /// A watch of discovery, which ends when this is dropped.
 struct Watch {
     address: Arc<str>,
@@ -229,7 +285,13 @@
     to_core: ToCore,
     clients: HashMap<ClientId, mpsc::Sender<ToClient>>,
     conns: HashMap<ConnId, mpsc::Sender<ToNode>>,
-    accepting: tokio::task::JoinHandle<()>,
+    stop_accepting: Option<oneshot::Sender<()>>,
+    /// Places for clients, and how many there are.
+    room: (Arc<Semaphore>, usize),
+    /// Operators' calls that wait for their answer.
+    calls: HashMap<CallId, oneshot::Sender<Verdict>>,
+    next_call: u64,
+    keeper: Option<handover::Keeper>,
     stop_flight: Option<oneshot::Sender<()>>,
     /// The inventories' paths, for the log.
     inventories: Vec<Arc<str>>,
@@ -276,9 +338,33 @@
                 // Its task ends with its orders, and says so.
                 Effect::Close(conn) => drop(self.conns.remove(&conn)),
                 Effect::StopAccepting => {
-                    self.accepting.abort();
+                    self.stop_accepting = None;
                     self.stop_flight = None;
                 }
+                Effect::Room(places) => self.make_room(places),
+                Effect::Decided(call, verdict) => {
+                    if let Some(answer) = self.calls.remove(&call) {
+                        let _ = answer.send(verdict);
+                    }
+                }
+                Effect::Keep(call, orders) => {
+                    let Some(answer) = self.calls.remove(&call) else { continue };
+                    match &self.keeper {
+                        Some(keeper) => keeper.keep(orders, answer),
+                        None => drop(answer.send(Verdict::Yes)),
+                    }
+                }
+                Effect::InForce(digest) => {
+                    if let Some(keeper) = &self.keeper {
+                        keeper.in_force(digest);
+                    }
+                }
+                Effect::Life { from, to, ready } => {
+                    info!(from, to, "life of this mixer");
+                    if let Some(keeper) = &self.keeper {
+                        keeper.ready(ready);
+                    }
+                }
                 Effect::Exit => return true,
                 Effect::Log(text) => info!("{text}"),
                 Effect::Notice(notice) => logging::notice(&notice, &self.inventories),
@@ -287,6 +373,28 @@
         false
     }
 
+    /// An operator's call has come; its number.
+    fn called(&mut self, answer: oneshot::Sender<Verdict>) -> CallId {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(call, answer);
+        call
+    }
+
+    /// Clients that may be open at once from now on; those above go as the core closes them.
+    fn make_room(&mut self, places: usize) {
+        let (room, now) = &mut self.room;
+        if places > *now {
+            room.add_permits(places - *now);
+            *now = places;
+        } else {
+            *now -= room.forget_permits(*now - places);
+            if *now > places {
+                warn!(open = *now, places, "more clients are open than there is room for now");
+            }
+        }
+    }
+
     fn reply(&self, client: ClientId, reply: Reply, close: bool) {
         if let Some(to) = self.clients.get(&client) {
             // A client has one reply to come: there is room, or the client's task is gone.
--- a/tests/mixer.rs
+++ b/tests/mixer.rs
@@ -423,7 +423,9 @@
     assert_eq!(held.response().status, 200);
     for (bad, why) in [
         (moved.replace("\"maxOpen\":2000", "\"maxOpen\":\"many\""), "settings.limits.maxOpen"),
-        (moved.replace("\"name\":\"c\"", "\"name\":\"d\""), "settings.categories"),
+        (moved.replace("\"hardLimitMs\":10000", "\"hardLimitMs\":0"), "class 0"),
+        (moved.replace("\"maxAttempts\":3", "\"maxAttempts\":0"), "max_attempts"),
+        (moved.replace("\"lateValue\":0,", ""), "settings.categories[].lateValue"),
         (
             moved.replace("\"periodMs\"", "\"tariffs\":{\"probe\":\"dear\"},\"periodMs\""),
             "settings.tariffs.probe",
@@ -431,15 +433,14 @@
     ] {
         std::fs::write(&mixer.config, bad).expect("written");
         mixer.signal("-HUP");
-        assert!(mixer.told("config.json: field ").contains("settings."), "{why}");
-        mixer.told(why);
+        assert!(mixer.told_anew("config.json: field ").contains(why), "{why}");
     }
     held.send(query("q2", "9000m", &[1]));
     let mut link = b.accept();
     let part = link.part();
     link.answer(&part, "good", "v");
     assert_eq!(held.response().status, 200);
-    assert_eq!((mixer.counters()["reloads"], mixer.counters()["reloads_rejected"]), (1, 3));
+    assert_eq!((mixer.counters()["reloads"], mixer.counters()["reloads_rejected"]), (1, 5));
 }
 
 /// A node reads no give-up on a full connection, and may be at work on what was given up until it says more.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -67,7 +67,7 @@
 #[test]
 fn duplicate_keyed_parts_are_not_resent_after_the_window() {
     let keyed = Class { effect: Effect::Keyed { window: 100.0 }, ..class() };
-    let mut rig = Rig::new(with_class(keyed.clone()), 1);
+    let mut rig = Rig::new(with_class(keyed), 1);
     rig.list(3);
     let (_, parts) = rig.query(1.0, &[0]);
     rig.end(50.0, parts[0], 0, Outcome::Error, 49.0);
