Admit by warm holders, leave late answers of little worth, wait less for silent nodes

A fifth to a third of all queries were finished late for a tenth of their worth (end_at). On split each mixer finds silent nodes by itself and six tails leave no time for a second attempt (send). Lists over several lines were refused by the watch; the look at the shared folder cost ten calls to the system every 40 ms. Change: those four, the watch reads objects by their braces, the folder is looked at by one call each 200 ms; tests of the life of a mixer as timelines, of hand-overs, bans and drains on real processes, of merging orders and torn files.

--- a/src/decide/logic.rs
+++ b/src/decide/logic.rs
@@ -12,11 +12,11 @@
 /// A timer overdue by so many sweeps is no jitter.
 const STALL_SWEEPS: f64 = 3.0;
 /// Recent latencies kept: enough for a steady 90th percentile, few enough to follow a change in seconds.
-const SAMPLES: usize = 64;
+pub(super) const SAMPLES: usize = 64;
 /// From so many on they are believed.
 const ENOUGH: usize = SAMPLES / 8;
 /// Queries that a tenant's unused quota saves up for, at most.
-const QUOTA_MOST: f64 = 8.0;
+pub(super) const QUOTA_MOST: f64 = 8.0;
 /// Typical latency, as a share of the shortest aim, until some answers are in.
 const TYPICAL_START: f64 = 0.15;
 /// The tail is where a part is late but not yet hopeless: one in ten.
@@ -82,9 +82,14 @@
 /// Where no second copy may go out, a silent attempt is given up after so many tails at the soonest: work
 /// called off half done is done anew elsewhere, and in slow times that is what makes them slower.
 const PATIENT_TAILS: f64 = 6.0;
+/// And half of that where a server is heard of less than once in such a time: nothing else tells that it is gone.
+const SELDOM_TAILS: f64 = 3.0;
 /// A cold replica gets its ramp's share of this many times what a warm peer serves: all aggregators together
 /// then stay near its capacity even where peers are full, as peers serve no more than theirs.
 const COLD_OF_PEER: f64 = 3.0;
+/// An answer that is late is worked for where it keeps this share of its worth. Below it the same work earns more with
+/// queries that are still in time.
+const LATE_LEAST: f64 = 0.2;
 /// A query is let in where its chance to be in time is this good, or its mean part is predicted to take less
 /// than the other share of the aim: then it is not queues that spoil it, and refusing cures nothing.
 const CHANCE_LEAST: f64 = 0.4;
@@ -142,26 +147,6 @@
         })
     }
 
-    /// Takes new settings in the place of the old. `was` tells which class of the old each of the new ones is, if
-    /// any. Queries that are held go on by the rules they began under.
-    pub fn reconfigure(&mut self, settings: Settings, was: &[Option<usize>]) -> Result<(), SettingsError> {
-        settings.validate()?;
-        let aims = settings.classes.iter().map(|c| c.aim);
-        self.longest_aim = aims.clone().fold(0.0, f64::max);
-        self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
-        self.quotas = Quotas::new(settings.tenants.iter().map(|t| t.quota_per_s), QUOTA_MOST);
-        let old = |i: usize| was.get(i).copied().flatten();
-        let classes = 0..settings.classes.len();
-        let times = |i| old(i).and_then(|was| self.first_times.get(was).cloned());
-        self.first_times =
-            classes.clone().map(|i| times(i).unwrap_or_else(|| Recent::new(SAMPLES))).collect();
-        let density = |i| old(i).and_then(|was| self.density.get(was).copied()).unwrap_or(0.0);
-        self.density = classes.map(density).collect();
-        self.set = settings;
-        self.reindex();
-        Ok(())
-    }
-
     /// Tells the module of one event; what is to be done is appended to `actions`, in order. Events about ids
     /// not held are ignored. `now` must not run backwards; if it does, the latest time seen stands.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
@@ -405,7 +390,9 @@
         let again = q.max_attempts.saturating_sub(p.attempts.len() as u32 + 1);
         let repeats = q.class.effect != Effect::Unsafe && again > 0;
         // What is typical must be known: patience with a silent server at the start would be for nothing.
-        let patient = if self.latencies.len() < ENOUGH { 0.0 } else { self.tail * PATIENT_TAILS };
+        let seldom = self.peer_rate * PATIENT_TAILS * self.tail < 1.0;
+        let tails = if seldom { SELDOM_TAILS } else { PATIENT_TAILS };
+        let patient = if self.latencies.len() < ENOUGH { 0.0 } else { self.tail * tails };
         let timeout = match self.set.second_copies || !repeats {
             true => left,
             false => left.min((left / f64::from(again + 1)).max(patient)),
@@ -782,7 +769,7 @@
         let late = aim < self.typical;
         let late_value = if late { c.late_value } else { 1.0 };
         let aim_at = (self.now + aim).min(last);
-        let end_at = if c.late_value > 0.0 { last } else { aim_at };
+        let end_at = if c.late_value >= LATE_LEAST { last } else { aim_at };
         let urge = (self.tail / (LOOK_TAIL * self.shortest_aim)).max(self.bad / LOOK_BAD);
         let pays = self.set.probe_price <= LOOK_WORTH;
         let looks = pays && self.draw.uniform() < (2.0 * urge - 1.0).max(LOOK_LEAST);
@@ -885,10 +872,15 @@
         if first { 0.0 } else { (self.set.classes[class].deadline - left).max(0.0) }
     }
 
-    /// Expected latency of a part at the least busy holder of its shard; infinite with no holder.
+    /// Expected latency of a part at the least busy warm holder of its shard; cold ones take too few to count on, but
+    /// where there are no others. Infinite with no holder.
     fn expect(&self, shard: u32) -> f64 {
-        let costs = self.holders(shard).into_iter().map(|id| self.cost(id));
-        self.unit * costs.fold(f64::INFINITY, f64::min)
+        let holders = self.holders(shard);
+        let least = |cold: bool| {
+            let some = holders.iter().filter(|id| cold || self.ramp(&self.replicas[*id]) >= 1.0);
+            some.map(|id| self.cost(*id)).fold(f64::INFINITY, f64::min)
+        };
+        self.unit * Some(least(false)).filter(|c| c.is_finite()).unwrap_or_else(|| least(true))
     }
 
     /// Ends a query: with an answer if one may be given, else turned away where that is honest, else failed.
--- a/src/decide/state.rs
+++ b/src/decide/state.rs
@@ -1,6 +1,7 @@
 //! What the module remembers of replicas, parts and queries, and its seeded draws. No decisions.
 
-use crate::decide::api::*;
+use super::api::*;
+use super::logic::{QUOTA_MOST, SAMPLES};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -115,6 +116,26 @@
         }
     }
 
+    /// Takes new settings in the place of the old. `was` tells which class of the old each of the new ones is, if
+    /// any. Queries that are held go on by the rules they began under.
+    pub fn reconfigure(&mut self, settings: Settings, was: &[Option<usize>]) -> Result<(), SettingsError> {
+        settings.validate()?;
+        let aims = settings.classes.iter().map(|c| c.aim);
+        self.longest_aim = aims.clone().fold(0.0, f64::max);
+        self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
+        self.quotas = Quotas::new(settings.tenants.iter().map(|t| t.quota_per_s), QUOTA_MOST);
+        let old = |i: usize| was.get(i).copied().flatten();
+        let classes = 0..settings.classes.len();
+        let times = |i| old(i).and_then(|was| self.first_times.get(was).cloned());
+        self.first_times =
+            classes.clone().map(|i| times(i).unwrap_or_else(|| Recent::new(SAMPLES))).collect();
+        let density = |i| old(i).and_then(|was| self.density.get(was).copied()).unwrap_or(0.0);
+        self.density = classes.map(density).collect();
+        self.set = settings;
+        self.reindex();
+        Ok(())
+    }
+
     /// Was the last query of a known tenant within that tenant's quota, as this module judged it?
     pub fn within_quota(&self) -> bool {
         self.quotas.within
--- a/src/handover/folder.rs
+++ b/src/handover/folder.rs
@@ -65,10 +65,11 @@
         self.dir.join("orders")
     }
 
-    /// What tells one content of the file from the next without reading it; none while there is no file.
-    pub fn mark(&self) -> Option<(u64, i64, i64, u64)> {
-        let m = fs::metadata(self.file()).ok()?;
-        Some((m.ino(), m.mtime(), m.mtime_nsec(), m.len()))
+    /// What tells one state of the folder from the next by one look: the orders are renamed into it, and whoever takes a
+    /// seat leaves a trace in it. Who leaves does not.
+    pub fn mark(&self) -> Option<(i64, i64)> {
+        let m = fs::metadata(&self.dir).ok()?;
+        Some((m.mtime(), m.mtime_nsec()))
     }
 
     /// Reads the orders. What is not to be believed is moved aside.
@@ -128,6 +129,10 @@
             let file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
             if file.try_lock().is_ok() {
                 file.set_len(0)?;
+                // The trace by which others see that somebody has come.
+                let trace = self.dir.join(format!("came-{number}"));
+                fs::write(&trace, "")?;
+                fs::remove_file(&trace)?;
                 return Ok(Some(Seat { number, file }));
             }
         }
@@ -139,9 +144,9 @@
     }
 
     /// The other processes that live: their seats are locked.
-    pub fn others(&self, own: Option<&Seat>) -> Vec<Other> {
+    pub fn others(&self, own: Option<usize>) -> Vec<Other> {
         let taken = |number: &usize| {
-            own.is_none_or(|s| s.number != *number)
+            own.is_none_or(|seat| seat != *number)
                 && File::open(self.seat(*number))
                     .is_ok_and(|f| matches!(f.try_lock_shared(), Err(TryLockError::WouldBlock)))
         };
@@ -162,6 +167,11 @@
 }
 
 impl Seat {
+    /// Its number.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
     /// Says something new. A reader that sees half of it sees nothing.
     ///
     /// # Errors
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -23,8 +23,8 @@
 /// An empty line comes every 2 s: one missed and a second mean that the watch has died without a word. What it misses
 /// counts as told 6 s after it fell silent: the call that follows has to be answered before then.
 const SILENCE: Duration = Duration::from_millis(3000);
-/// A line that has begun is in by then: against an answer that trickles, on which no silence falls.
-const LINE_WITHIN: Duration = Duration::from_secs(10);
+/// An object that has begun is in by then: against an answer that trickles, on which no silence falls.
+const LINE_WITHIN: Duration = Duration::from_secs(3);
 /// The agent is on this machine: a dial that takes longer is lost.
 const DIAL: Duration = Duration::from_secs(1);
 /// A list is no longer than that: against an answer that never ends a line.
@@ -93,7 +93,7 @@
         }
         read(&mut stream, &mut raw, by).await?;
     };
-    let mut begun = None;
+    let (mut begun, mut object) = (None, Object::default());
     loop {
         let ended = match &mut chunks {
             Some(chunks) => chunks.take(&mut raw, &mut body).map_err(|_| malformed("a bad chunk"))?,
@@ -102,12 +102,9 @@
                 false
             }
         };
-        while let Some(end) = body.iter().position(|b| *b == b'\n') {
-            let line = body.split_to(end + 1);
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
-            }
-            let list = parse(&line)?;
+        while let Some(end) = object.end(&body).map_err(malformed)? {
+            let list = parse(&body.split_to(end))?;
+            object = Object::default();
             // Kept for the next watch only once the list has been taken.
             let next = list.generation;
             let event = Event::Nodes { list, wall_ahead: clock.wall_ahead() };
@@ -115,6 +112,9 @@
             generation.set(next);
             *told = true;
         }
+        if object.depth == 0 {
+            (object, body) = (Object::default(), BytesMut::new());
+        }
         if ended {
             return Ok(());
         }
@@ -122,7 +122,7 @@
             return Err(malformed("a line without an end"));
         }
         let now = Instant::now();
-        begun = if body.is_empty() && raw.is_empty() { None } else { begun.or(Some(now)) };
+        begun = if object.depth == 0 && raw.is_empty() { None } else { begun.or(Some(now)) };
         let by = begun.map_or(now + SILENCE, |begun| (begun + LINE_WITHIN).min(now + SILENCE));
         read(&mut stream, &mut raw, by).await?;
     }
@@ -157,8 +157,63 @@
     }
 }
 
+/// Where a JSON object ends that may come in pieces and over several lines.
+#[derive(Default)]
+struct Object {
+    /// Bytes looked at.
+    seen: usize,
+    depth: u32,
+    in_text: bool,
+    escaped: bool,
+}
+
+impl Object {
+    /// One past the object's end, once it is there; what stands before it must be blank.
+    fn end(&mut self, body: &[u8]) -> Result<Option<usize>, &'static str> {
+        while let Some(byte) = body.get(self.seen) {
+            self.seen += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\n' if self.in_text => return Err("a line that breaks off"),
+                b'\\' if self.in_text => self.escaped = true,
+                b'"' if self.depth > 0 => self.in_text = !self.in_text,
+                _ if self.in_text => {}
+                b'{' => self.depth += 1,
+                b'}' if self.depth == 1 => return Ok(Some(self.seen)),
+                b'}' if self.depth > 1 => self.depth -= 1,
+                _ if self.depth == 0 && !byte.is_ascii_whitespace() => return Err("a line that is not JSON"),
+                _ => {}
+            }
+        }
+        Ok(None)
+    }
+}
+
 fn parse(line: &[u8]) -> io::Result<NodeList> {
     let text = std::str::from_utf8(line).map_err(malformed)?;
     let value: Value = miniserde::json::from_str(text).map_err(|_| malformed("a line that is not JSON"))?;
     node_list(&Field::root(&value)).map_err(malformed)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A list over several lines, in pieces of any size, with braces and quotes in its texts, and blank lines before it.
+    #[test]
+    fn an_object_is_found_whole_however_it_is_cut_and_indented() {
+        let text = "\n\n{\n  \"instances\": [\n    {\"instanceId\": \"a}\\\"{\"}\n  ]\n}";
+        for piece in 1..text.len() {
+            let (mut object, mut body) = (Object::default(), Vec::new());
+            let mut ends = Vec::new();
+            for bytes in text.as_bytes().chunks(piece) {
+                body.extend_from_slice(bytes);
+                ends.extend(object.end(&body).expect("sound"));
+            }
+            assert_eq!(ends, [text.len()], "pieces of {piece}");
+        }
+        for bad in ["noise", "\n[", "{\"a\n", "}"] {
+            assert!(Object::default().end(bad.as_bytes()).is_err(), "{bad:?}");
+        }
+    }
+}
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -5,7 +5,7 @@
 use crate::api::Millis;
 use crate::clock::Clock;
 use crate::core::{Beside, Event, Verdict};
-use crate::handover::{Folder, Found, Order, Orders, Seat, Subject, Word, snapshot};
+use crate::handover::{Folder, Found, Order, Orders, Other, Seat, Subject, Word, snapshot};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::io;
@@ -13,11 +13,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
-/// The folder is looked at so often on average: far within the second in which an order has to hold everywhere.
-const LOOK: Duration = Duration::from_millis(40);
-/// And so often while a call waits for other processes.
+/// The folder is looked at so often on average, by one call to the system while nothing changes: often enough for an
+/// order to hold everywhere within a second, and no load where hundreds of mixers share a machine's cores.
+const LOOK: Duration = Duration::from_millis(200);
+/// And so often while there are other processes, and while a call waits for them.
+const LOOK_BESIDE: Duration = Duration::from_millis(40);
 const LOOK_WAITING: Duration = Duration::from_millis(5);
 /// A call waits for the other processes for so long: an answer is owed within 1 s, and the order counts from then on.
 const OTHERS_WITHIN: Duration = Duration::from_millis(600);
@@ -37,14 +39,17 @@
 /// The way to the thread.
 pub(crate) struct Keeper {
     to: Sender<ToKeeper>,
+    folder: Folder,
+    seat: Option<usize>,
 }
 
 impl Keeper {
     /// Starts the thread on a folder; what is kept there comes first, for the time before any client.
     pub fn start(folder: Folder, seed: u64, to_core: ToCore, clock: Clock) -> io::Result<(Self, Orders)> {
-        let mark = folder.mark();
         let orders = told(folder.read()?);
         let seat = folder.sit()?;
+        let number = seat.as_ref().map(Seat::number);
+        let looks = folder.clone();
         if seat.is_none() {
             warn!("no seat is free for this process: others will not see it");
         }
@@ -57,7 +62,7 @@
             folder,
             seat,
             word,
-            mark,
+            mark: None,
             told: digest,
             beside,
             waiting: Vec::new(),
@@ -66,7 +71,7 @@
             draw,
         };
         thread::Builder::new().name("orders".to_owned()).spawn(move || keeping.run(&inbox))?;
-        Ok((Keeper { to }, orders))
+        Ok((Keeper { to, folder: looks, seat: number }, orders))
     }
 
     /// Keeps orders; the answer is yes once they hold in every process of this mixer that lives.
@@ -74,6 +79,11 @@
         let _ = self.to.send(ToKeeper::Keep(orders, answer));
     }
 
+    /// Who lives beside this process, at this moment.
+    pub fn beside(&self) -> Beside {
+        beside(&self.folder.others(self.seat))
+    }
+
     pub fn in_force(&self, digest: u32) {
         let _ = self.to.send(ToKeeper::InForce(digest));
     }
@@ -83,13 +93,18 @@
     }
 }
 
+fn beside(others: &[Other]) -> Beside {
+    let ready = others.iter().any(|o| o.word.as_ref().is_some_and(|w| w.ready));
+    Beside { others: others.len(), ready }
+}
+
 /// The orders of a file; one that is not to be believed is told.
 fn told(found: Found) -> Orders {
     match found {
         Found::Nothing => Orders::default(),
         Found::Orders(orders) => {
             let is_out = |(_, o): &(&Subject, &Order)| o.out;
-            info!(standing = orders.iter().filter(is_out).count(), "kept orders read");
+            debug!(standing = orders.iter().filter(is_out).count(), "kept orders read");
             orders
         }
         Found::Aside(path, why) => {
@@ -109,8 +124,8 @@
     folder: Folder,
     seat: Option<Seat>,
     word: Word,
-    /// Of the file as last read.
-    mark: Option<(u64, i64, i64, u64)>,
+    /// Of the folder as last read.
+    mark: Option<(i64, i64)>,
     /// Digest of what the core was last told of it.
     told: u32,
     beside: Beside,
@@ -126,7 +141,11 @@
         loop {
             // Spread, so that processes started together do not look together.
             let spread = (self.draw.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
-            let wait = if self.waiting.is_empty() { LOOK.mul_f64(0.5 + spread) } else { LOOK_WAITING };
+            let wait = match (self.waiting.is_empty(), self.beside.others) {
+                (false, _) => LOOK_WAITING,
+                (true, 0) => LOOK.mul_f64(0.5 + spread),
+                (true, _) => LOOK_BESIDE.mul_f64(0.5 + spread),
+            };
             match inbox.recv_timeout(wait) {
                 Ok(ToKeeper::Keep(orders, answer)) => self.keep(&orders, answer),
                 Ok(ToKeeper::InForce(digest)) => {
@@ -161,7 +180,7 @@
                 }
                 // These are in force already: the core gave them.
                 if kept == *orders {
-                    (self.mark, self.told) = (self.folder.mark(), snapshot::digest(&kept));
+                    self.told = snapshot::digest(&kept);
                     self.word.orders = self.told;
                     self.say();
                 }
@@ -177,27 +196,32 @@
 
     /// Looks for other processes and for orders that they were given.
     fn look(&mut self) -> Result<(), super::Gone> {
-        let others = self.folder.others(self.seat.as_ref());
-        let ready = others.iter().any(|o| o.word.as_ref().is_some_and(|w| w.ready));
-        let beside = Beside { others: others.len(), ready };
+        let mark = self.folder.mark();
+        if mark == self.mark && self.beside.others == 0 && self.waiting.is_empty() {
+            return Ok(());
+        }
+        let others = self.folder.others(self.seat.as_ref().map(Seat::number));
+        let beside = beside(&others);
         if beside != self.beside {
-            info!(others = beside.others, ready, "processes of this mixer beside this one");
+            info!(others = beside.others, ready = beside.ready, "processes of this mixer beside this one");
             self.beside = beside;
             self.tell(Event::Beside(beside))?;
         }
-        let mark = self.folder.mark();
         if mark != self.mark {
             match self.folder.read() {
                 Ok(found) => {
                     self.mark = mark;
                     let orders = told(found);
-                    self.told = snapshot::digest(&orders);
-                    self.tell(Event::OrdersFound(orders, self.told))?;
+                    let digest = snapshot::digest(&orders);
+                    if digest != self.told {
+                        self.told = digest;
+                        self.tell(Event::OrdersFound(orders, digest))?;
+                    }
                 }
                 Err(e) => warn!("the file of orders: {e}"),
             }
         }
-        let behind = |o: &crate::handover::Other| o.word.as_ref().is_none_or(|w| w.orders != self.told);
+        let behind = |o: &Other| o.word.as_ref().is_none_or(|w| w.orders != self.told);
         let all = self.word.orders == self.told && !others.iter().any(behind);
         let now = Instant::now();
         for waiting in std::mem::take(&mut self.waiting) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -196,8 +196,8 @@
             Some((operation, answer)) = calls.recv(), if managing.is_some() => {
                 Event::Operated(hub.called(answer), operation)
             }
-            _ = terminate.recv() => Event::Terminate,
-            _ = interrupt.recv() => Event::Terminate,
+            _ = terminate.recv() => hub.asked_to_end(&mut state, clock.now()),
+            _ = interrupt.recv() => hub.asked_to_end(&mut state, clock.now()),
             () = sleep_until(wake) => {
                 hub.release(clock.now());
                 Event::Tick
@@ -373,6 +373,15 @@
         false
     }
 
+    /// The end is near; who goes on is looked up at this moment, since the order may follow close on a successor's yes.
+    fn asked_to_end(&mut self, state: &mut State, now: f64) -> Event {
+        if let Some(beside) = self.keeper.as_ref().map(handover::Keeper::beside) {
+            let effects = reduce(state, now, Event::Beside(beside));
+            self.carry_out(effects);
+        }
+        Event::Terminate
+    }
+
     /// An operator's call has come; its number.
     fn called(&mut self, answer: oneshot::Sender<Verdict>) -> CallId {
         let call = CallId(self.next_call);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod flight;
 pub mod process;
+pub mod timeline;
 
 use sailmux::Balancer;
 use sailmux::api::*;
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -62,6 +62,14 @@
     HELD.get_or_init(bind).local_addr().expect("bound")
 }
 
+/// A port that several mixers may listen at: held, and never listened at here.
+pub fn shared_port() -> TcpSocket {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseport(true).expect("set");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    socket
+}
+
 /// What a mixer is started with.
 pub struct Setup {
     pub known: String,
@@ -72,6 +80,11 @@
     pub calls_per_connection: u32,
     pub probes: bool,
     pub operator: Option<String>,
+    pub listen: SocketAddr,
+    /// With a second address.
+    pub managed: bool,
+    /// Shared by processes of one mixer; else each has its own.
+    pub tmp: Option<PathBuf>,
 }
 
 impl Setup {
@@ -85,9 +98,18 @@
             calls_per_connection: 32,
             probes: false,
             operator: None,
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            managed: false,
+            tmp: None,
         }
     }
 
+    /// One that several processes can be started with: one address, one folder, a second address each.
+    pub fn shared(self, held: &TcpSocket) -> Self {
+        let listen = held.local_addr().expect("bound");
+        Setup { listen, managed: true, tmp: Some(scratch("tmp")), ..self }
+    }
+
     /// The configuration as the platform writes it.
     pub fn config(&self) -> String {
         let Setup {
@@ -98,11 +120,14 @@
             keepalive_ms,
             calls_per_connection,
             probes,
+            listen,
+            managed,
             ..
         } = self;
+        let management = if *managed { r#","management":"127.0.0.1:0""# } else { "" };
         let how = if *probes { "on_probe" } else { "off" };
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"{listen}"{management},"discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},
 "settings":{{"categories":[{{"aimMs":{hard_limit_ms},"effect":"retryable","hardLimitMs":{hard_limit_ms},
 "lateValue":0,"name":"c","worth":1}}],"clients":{{"marksRetry":false}},"discovery":"pushed",
@@ -117,7 +142,7 @@
     }
 
     pub fn start(&self) -> Mixer {
-        Mixer::start(&self.config(), self.operator.as_deref())
+        Mixer::start_in(&self.config(), self.operator.as_deref(), self.tmp.as_deref())
     }
 }
 
@@ -140,15 +165,15 @@
 
 /// Starts the program with a configuration, and an operator's file if there is one.
 pub fn spawn(config: &str, operator: Option<&str>) -> Child {
-    spawn_in(&scratch("mixer"), config, operator)
+    spawn_in(&scratch("mixer"), config, operator, None)
 }
 
-fn spawn_in(dir: &Path, config: &str, operator: Option<&str>) -> Child {
+fn spawn_in(dir: &Path, config: &str, operator: Option<&str>, tmp: Option<&Path>) -> Child {
     let path = dir.join("config.json");
     std::fs::write(&path, config).expect("written");
     let mut command = Command::new(binary());
-    command.env("RELAY_CONFIG", &path).stderr(Stdio::piped());
-    for told in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "SAILMUX_OPERATOR"] {
+    command.env("RELAY_CONFIG", &path).env("TMPDIR", tmp.unwrap_or(dir)).stderr(Stdio::piped());
+    for told in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_MANAGEMENT", "SAILMUX_OPERATOR"] {
         command.env_remove(told);
     }
     if let Some(text) = operator {
@@ -161,8 +186,12 @@
 
 impl Mixer {
     pub fn start(config: &str, operator: Option<&str>) -> Self {
+        Self::start_in(config, operator, None)
+    }
+
+    pub fn start_in(config: &str, operator: Option<&str>, tmp: Option<&Path>) -> Self {
         let dir = scratch("mixer");
-        let mut child = spawn_in(&dir, config, operator);
+        let mut child = spawn_in(&dir, config, operator, tmp);
         let (to, lines) = channel();
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| to.send(l)));
@@ -174,6 +203,12 @@
         mixer
     }
 
+    /// A start that fails; how it ended.
+    pub fn start_in_vain(config: &str, setup: &Setup) -> ExitStatus {
+        let mut child = spawn_in(&scratch("mixer"), config, None, setup.tmp.as_deref());
+        child.wait().expect("it ended")
+    }
+
     /// Waits for a line of the log and gives what follows the words; lines already seen count too.
     pub fn told(&mut self, words: &str) -> String {
         let after = |l: &String| l.split_once(words).map(|(_, after)| after.to_owned());
@@ -215,6 +250,17 @@
         &self.seen
     }
 
+    /// An operator's call on the second address; its status.
+    pub fn operate(&mut self, call: &str) -> u16 {
+        let at: SocketAddr = self.told("operators on ").parse().expect("an address");
+        Client::connect(at).ask(format!("{call} HTTP/1.1\r\nHost: m\r\nContent-Length: 0\r\n\r\n")).status
+    }
+
+    /// The front's question.
+    pub fn healthz(&self) -> u16 {
+        Client::connect(self.address).ask("GET /healthz HTTP/1.1\r\n\r\n").status
+    }
+
     /// Where the mixer serves Flight.
     pub fn flight(&mut self) -> String {
         self.told("flight on ")
@@ -318,6 +364,13 @@
         self.response()
     }
 
+    /// The reply; none where the connection ends before.
+    pub fn try_ask(&mut self, bytes: impl AsRef<[u8]>) -> Option<Response> {
+        self.stream.get_mut().write_all(bytes.as_ref()).ok()?;
+        let ended = self.stream.fill_buf().ok()?.is_empty();
+        (!ended).then(|| self.response())
+    }
+
     pub fn response(&mut self) -> Response {
         let mut head = String::new();
         while !head.ends_with("\r\n\r\n") {
@@ -329,7 +382,11 @@
         }
         let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
         let mut response = Response { status, head, body: String::new() };
-        let length = response.header("Content-Length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let length = response
+            .header("Content-Length")
+            .or(response.header("content-length"))
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0);
         let mut body = vec![0; length];
         self.stream.read_exact(&mut body).expect("the whole body");
         response.body = String::from_utf8(body).expect("text");
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -48,6 +48,22 @@
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// A list that comes over several lines is one list.
+#[test]
+fn an_indented_list_is_taken() {
+    let (a, b) = (Node::new(), Node::new());
+    let discovery = Discovery::new();
+    let known = Setup::new(&[listed("a", a.address, 0)]);
+    let mixer = Setup { discovery: discovery.address(), ..known }.start();
+    let mut watch = discovery.accept();
+    watch.tell("");
+    let row = list(9, false, &[Listed { started: 1, ..listed("b", b.address, 1) }]);
+    watch.tell(&row.replace(',', ",\n    ").replace('{', "{\n  "));
+    mixer.wait_for("lists_taken", 2);
+    served(&mixer, &b, "q1", 1);
+    assert_eq!(mixer.counters()["lists_unreadable"], 0);
+}
+
 /// It turns calls away, hangs up, gives half an answer, noise and fields of a wrong type: the list from the start stands
 /// and is served by, each call is counted, and the first good answer is taken.
 #[test]
