--- a/src/decide/logic.rs
+++ b/src/decide/logic.rs
@@ -82,8 +82,6 @@
 /// Where no second copy may go out, a silent attempt is given up after so many tails at the soonest: work
 /// called off half done is done anew elsewhere, and in slow times that is what makes them slower.
 const PATIENT_TAILS: f64 = 6.0;
-/// And half of that where a server is heard of less than once in such a time: nothing else tells that it is gone.
-const SELDOM_TAILS: f64 = 3.0;
 /// A cold replica gets its ramp's share of this many times what a warm peer serves: all aggregators together
 /// then stay near its capacity even where peers are full, as peers serve no more than theirs.
 const COLD_OF_PEER: f64 = 3.0;
@@ -390,9 +388,7 @@
         let again = q.max_attempts.saturating_sub(p.attempts.len() as u32 + 1);
         let repeats = q.class.effect != Effect::Unsafe && again > 0;
         // What is typical must be known: patience with a silent server at the start would be for nothing.
-        let seldom = self.peer_rate * PATIENT_TAILS * self.tail < 1.0;
-        let tails = if seldom { SELDOM_TAILS } else { PATIENT_TAILS };
-        let patient = if self.latencies.len() < ENOUGH { 0.0 } else { self.tail * tails };
+        let patient = if self.latencies.len() < ENOUGH { 0.0 } else { self.tail * PATIENT_TAILS };
         let timeout = match self.set.second_copies || !repeats {
             true => left,
             false => left.min((left / f64::from(again + 1)).max(patient)),
@@ -872,15 +868,10 @@
         if first { 0.0 } else { (self.set.classes[class].deadline - left).max(0.0) }
     }
 
-    /// Expected latency of a part at the least busy warm holder of its shard; cold ones take too few to count on, but
-    /// where there are no others. Infinite with no holder.
+    /// Expected latency of a part at the least busy holder of its shard; infinite with no holder.
     fn expect(&self, shard: u32) -> f64 {
-        let holders = self.holders(shard);
-        let least = |cold: bool| {
-            let some = holders.iter().filter(|id| cold || self.ramp(&self.replicas[*id]) >= 1.0);
-            some.map(|id| self.cost(*id)).fold(f64::INFINITY, f64::min)
-        };
-        self.unit * Some(least(false)).filter(|c| c.is_finite()).unwrap_or_else(|| least(true))
+        let costs = self.holders(shard).into_iter().map(|id| self.cost(id));
+        self.unit * costs.fold(f64::INFINITY, f64::min)
     }
 
     /// Ends a query: with an answer if one may be given, else turned away where that is honest, else failed.
