--- a/src/decide/logic.rs
+++ b/src/decide/logic.rs
@@ -85,8 +85,8 @@
 /// A cold replica gets its ramp's share of this many times what a warm peer serves: all aggregators together
 /// then stay near its capacity even where peers are full, as peers serve no more than theirs.
 const COLD_OF_PEER: f64 = 3.0;
-/// An answer that is late is worked for where it keeps this share of its worth. Below it the same work earns more with
-/// queries that are still in time.
+/// An answer that is late is worked for where it keeps this share of its worth. Below it the same work earns
+/// more with queries that are still in time.
 const LATE_LEAST: f64 = 0.2;
 /// A query is let in where its chance to be in time is this good, or its mean part is predicted to take less
 /// than the other share of the aim: then it is not queues that spoil it, and refusing cures nothing.
