Believe chances as far as those of queries let in lately came true, so overload is met at the door

Two thirds of all parts served were of queries that failed. Change: what the chances of admitted queries foretold is held against what came (a Tally that halves in two longest aims, of those that cost work), and chances are believed by that share; below 0.7 predicted times count for nothing and 0.6 is asked for. Serving, until and load move to tests/common for the new hard_cases.

--- a/src/decide/logic.rs
+++ b/src/decide/logic.rs
@@ -92,6 +92,13 @@
 /// than the other share of the aim: then it is not queues that spoil it, and refusing cures nothing.
 const CHANCE_LEAST: f64 = 0.4;
 const QUEUED_LEAST: f64 = 0.25;
+/// Chances are believed as far as those of the queries let in lately came true; so many that did are taken
+/// for granted, and this halves over so many longest aims. Below this share predicted times count for
+/// nothing, and a chance has to be as good as the last.
+const HOPE_PRIOR: f64 = 3.0;
+const HOPE_AIMS: f64 = 2.0;
+const HOPE_LEAST: f64 = 0.7;
+const HOPE_CHANCE: f64 = 0.6;
 /// What all parts did counts as this many parts of a shard.
 const SHARD_PRIOR: f64 = 4.0;
 /// How well parts did against what was expected is forgotten over this many longest aims.
@@ -774,6 +781,7 @@
             looks,
             class: class_of,
             max_attempts,
+            hope: 0.0,
             aim_at,
             end_at,
             parts: vec![],
@@ -789,8 +797,13 @@
         let (predicted, chance) = self.outlook(id, class, time);
         let crowded =
             self.open as f64 > f64::from(self.set.max_open) * (OPEN_BASE + (1.0 - OPEN_BASE) * worth);
-        let least = if predicted > QUEUED_LEAST * aim { CHANCE_LEAST } else { CHANCE_DOOMED };
-        let shed = crowded || chance * worth.cbrt() < least;
+        let believed = self.believed();
+        let least = match predicted > QUEUED_LEAST * aim {
+            _ if believed < HOPE_LEAST => HOPE_CHANCE,
+            true => CHANCE_LEAST,
+            false => CHANCE_DOOMED,
+        };
+        let shed = crowded || believed * chance * worth.cbrt() < least;
         if shed {
             self.shed_at = self.now;
             if !std::mem::replace(&mut self.shedding, true) {
@@ -800,9 +813,19 @@
         if shed || late_value == 0.0 || specs.is_empty() {
             return self.finish(id, actions);
         }
+        if !late && let Some(q) = self.queries.get_mut(&id) {
+            q.hope = chance;
+        }
         self.tend(id, actions);
     }
 
+    /// How far the chances of queries came true lately, of those that cost work. Stops a mixer that hears
+    /// little of each server from letting in what the fullest cannot take: queries tell of all at once.
+    /// Harm: once the trouble is over some are turned away until others have come in time.
+    fn believed(&self) -> f64 {
+        self.hopes.share(self.now, HOPE_AIMS * self.longest_aim, 1.0, HOPE_PRIOR).min(1.0)
+    }
+
     /// Mean latency expected of the parts needed, the quickest ones, and the share of the worth likely to be
     /// earned in time: all of it by the chance that all are in, or what an answer from less would bring.
     fn outlook(&self, id: QueryId, class: usize, aim: f64) -> (f64, f64) {
@@ -845,9 +868,9 @@
     }
 
     fn record(&mut self, shard: u32, in_time: bool) {
-        let half = self.longest_aim;
-        self.shards.entry(shard).or_default().add(self.now, half, in_time);
-        self.all_shards.add(self.now, half, in_time);
+        let (half, good) = (self.longest_aim, f64::from(u8::from(in_time)));
+        self.shards.entry(shard).or_default().add(self.now, half, 1.0, good);
+        self.all_shards.add(self.now, half, 1.0, good);
     }
 
     /// How long the client has waited in earlier tries. First tries have a time in common, cut from the
@@ -884,11 +907,19 @@
         let all = parts().all(|p| p.ok);
         let whole = if q.second { all && q.first_whole } else { ok >= class.need - ROUNDING };
         let floor = if q.second && class.floor >= class.need { 1.0 } else { class.floor };
-        if !q.parts.is_empty() && ok >= floor.max(ROUNDING * 4.0) - ROUNDING && parts().any(|p| p.ok) {
+        let answered =
+            !q.parts.is_empty() && ok >= floor.max(ROUNDING * 4.0) - ROUNDING && parts().any(|p| p.ok);
+        // Who was turned away unseen by all has cost nothing.
+        if q.hope > 0.0 && parts().any(Part::worked) {
+            let worth = if whole { 1.0 } else { class.partial_value * ok / class.need };
+            let came = if answered && self.now <= q.aim_at { worth } else { 0.0 };
+            self.hopes.add(self.now, HOPE_AIMS * self.longest_aim, q.hope, came);
+        }
+        if answered {
             actions.push(Action::Answer { query: id, whole });
             if !q.second && class.second_step > 0 {
                 let Some(q) = self.queries.get_mut(&id) else { return };
-                (q.second, q.first_whole) = (true, whole);
+                (q.second, q.first_whole, q.hope) = (true, whole, 0.0);
                 let parts = std::mem::take(&mut q.parts);
                 return self.release(&parts, actions);
             }
--- a/src/decide/state.rs
+++ b/src/decide/state.rs
@@ -59,6 +59,8 @@
     /// By shard: how many of its parts were in time lately.
     pub(crate) shards: BTreeMap<u32, Tally>,
     pub(crate) all_shards: Tally,
+    /// The chances that queries were let in by lately, and what of them came true.
+    pub(crate) hopes: Tally,
     /// How long answers took lately, for each part then in the way.
     pub(crate) units: Recent,
     pub(crate) shed_at: f64,
@@ -109,6 +111,7 @@
             ratios: Recent::new(0),
             shards: BTreeMap::new(),
             all_shards: Tally::default(),
+            hopes: Tally::default(),
             units: Recent::new(0),
             shed_at: f64::NEG_INFINITY,
             open: 0,
@@ -314,6 +317,8 @@
     /// Its class's rules, and the attempts a part may have, as they were when it came.
     pub class: Class,
     pub max_attempts: u32,
+    /// Its chance by which it was let in, until something came of it.
+    pub hope: f64,
     pub aim_at: f64,
     pub end_at: f64,
     pub parts: Vec<PartId>,
@@ -426,10 +431,10 @@
 }
 
 impl Tally {
-    pub fn add(&mut self, now: f64, half: f64, good: bool) {
+    pub fn add(&mut self, now: f64, half: f64, tried: f64, good: f64) {
         let keep = self.kept(now, half);
-        self.tried = keep * self.tried + 1.0;
-        self.good = keep * self.good + f64::from(u8::from(good));
+        self.tried = keep * self.tried + tried;
+        self.good = keep * self.good + good;
         self.at = now;
     }
     /// The share of good ones, where so many tries were as good as expected beside those counted.
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -6,9 +6,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 use tokio::net::TcpSocket;
@@ -291,6 +291,10 @@
         assert!(Command::new("kill").args([signal, &id]).status().expect("kill runs").success());
     }
 
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("it can be waited for").is_none()
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().expect("it ran");
         self.child.wait().expect("it ended");
@@ -501,6 +505,83 @@
     }
 }
 
+/// An index node that answers all at once and counts the parts for itself.
+pub struct Serving {
+    pub address: SocketAddr,
+    parts: Arc<AtomicU64>,
+}
+
+impl Serving {
+    pub fn new() -> Self {
+        let node = Node::new();
+        let (address, parts) = (node.address, Arc::new(AtomicU64::new(0)));
+        let counted = parts.clone();
+        thread::spawn(move || {
+            for stream in node.listener.incoming().map_while(Result::ok) {
+                let (counted, mut link) = (counted.clone(), Link { stream });
+                thread::spawn(move || {
+                    while let Some((letter, rest)) = link.frame() {
+                        match letter {
+                            'm' => {
+                                counted.fetch_add(1, Ordering::SeqCst);
+                                link.answer(rest.split(' ').next().expect("an id"), "good", "v");
+                            }
+                            'p' => link.put('p', "-"),
+                            _ => {}
+                        }
+                    }
+                });
+            }
+        });
+        Serving { address, parts }
+    }
+
+    pub fn count(&self) -> u64 {
+        self.parts.load(Ordering::SeqCst)
+    }
+}
+
+/// Waits until something is so.
+pub fn until(what: &str, mut so: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !so() {
+        assert!(Instant::now() < end, "never: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Clients that open a connection for each query and clients that keep theirs, for as long as the load goes on; the
+/// number of queries asked and of those not answered with 200.
+pub fn load(at: SocketAddr, going: &Arc<AtomicBool>, clients: usize) -> Vec<thread::JoinHandle<(u64, u64)>> {
+    let client = |number: usize| {
+        let going = going.clone();
+        thread::spawn(move || {
+            let (mut asked, mut bad, mut kept) = (0, 0, None);
+            while going.load(Ordering::SeqCst) {
+                asked += 1;
+                let keeps = number.is_multiple_of(2);
+                let mut client = kept.take().unwrap_or_else(|| Client::connect(at));
+                match client.try_ask(query(&format!("c{number}-{asked}"), "5000m", &[0])) {
+                    Some(reply) => {
+                        bad += u64::from(reply.status != 200);
+                        let ends = reply.header("Connection") == Some("close");
+                        kept = (keeps && !ends).then_some(client);
+                    }
+                    // Between two requests a close may cross one: asked once more on a new connection.
+                    None if keeps => {
+                        let reply =
+                            Client::connect(at).try_ask(query(&format!("d{number}-{asked}"), "5000m", &[0]));
+                        bad += u64::from(reply.is_none_or(|r| r.status != 200));
+                    }
+                    None => bad += 1,
+                }
+            }
+            (asked, bad)
+        })
+    };
+    (0..clients).map(client).collect()
+}
+
 /// Discovery's listener; the test plays it.
 pub struct Discovery {
     pub listener: TcpListener,
--- /dev/null
+++ b/tests/hard_cases.rs
@@ -0,0 +1,257 @@
+//! What may go wrong while operators' staff are at work, on real processes: kills at each step of a hand-over, orders and
+//! drains that cross it, broken settings during it, a folder that is full, a crowd on the second address.
+
+mod common;
+
+use common::process::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::fs::symlink;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn asked(mixer: &Mixer, id: &str) -> u16 {
+    Client::connect(mixer.address).ask(query(id, "9000m", &[0])).status
+}
+
+fn is_ready(mixer: &mut Mixer) {
+    until("ready", || mixer.operate("GET /-/ready") == 200);
+}
+
+/// Where a kill comes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    NewHasNotSaidYes,
+    NewHasSaidYes,
+    OldWasAskedToEnd,
+    OldHasShut,
+}
+
+/// Either process dies at each step of a hand-over, under load. Who lives goes on alone, knows the order that was given
+/// before, and loses nothing that comes to it; of what the dead one held each client loses one query at the most.
+#[test]
+fn a_kill_at_each_step_of_a_hand_over_costs_what_the_dead_one_held() {
+    const CLIENTS: usize = 4;
+    for step in [Step::NewHasNotSaidYes, Step::NewHasSaidYes, Step::OldWasAskedToEnd, Step::OldHasShut] {
+        for old_dies in [false, true] {
+            let (a, b) = (Serving::new(), Serving::new());
+            let held = shared_port();
+            let nodes = [listed("a", a.address, 0), listed("b", b.address, 0)];
+            let setup = Setup::new(&nodes).shared(&held);
+            let mut old = setup.start();
+            is_ready(&mut old);
+            assert_eq!(old.operate("POST /-/leaf-servers/a/disable"), 200);
+            let out = a.count();
+            let going = Arc::new(AtomicBool::new(true));
+            let clients = load(old.address, &going, CLIENTS);
+            let mut new = setup.start();
+            if step != Step::NewHasNotSaidYes {
+                is_ready(&mut new);
+                old.told("others=1 ready=true");
+            }
+            if matches!(step, Step::OldWasAskedToEnd | Step::OldHasShut) {
+                old.signal("-TERM");
+            }
+            if step == Step::OldHasShut {
+                old.told("to=\"handing over\"");
+            }
+            let (mut dead, mut lives) = if old_dies { (old, new) } else { (new, old) };
+            dead.kill();
+            // An old one that was asked to end, and whose successor is gone, still ends.
+            if matches!(step, Step::OldWasAskedToEnd | Step::OldHasShut) && !old_dies {
+                assert!(lives.ended().success(), "{step:?}");
+            } else {
+                is_ready(&mut lives);
+                for i in 0..20 {
+                    assert_eq!(asked(&lives, &format!("k{i}")), 200, "{step:?}, old dies: {old_dies}");
+                }
+                assert_eq!(a.count(), out, "out through {step:?}, old dies: {old_dies}");
+                assert_eq!(lives.operate("POST /-/leaf-servers/a/enable"), 200);
+                lives.told("node back by hand node=\"a\"");
+            }
+            going.store(false, Ordering::SeqCst);
+            let ends: Vec<(u64, u64)> = clients.into_iter().filter_map(|c| c.join().ok()).collect();
+            if lives.is_running() {
+                let bad: u64 = ends.iter().map(|(_, bad)| bad).sum();
+                assert!(bad <= CLIENTS as u64, "{bad} of {ends:?} at {step:?}, old dies: {old_dies}");
+            }
+        }
+    }
+}
+
+/// A drain holds in both processes whichever is told, whatever was going on; so does its end.
+#[test]
+fn a_drain_during_a_hand_over_holds_in_both_processes() {
+    let node = Serving::new();
+    let held = shared_port();
+    let setup = Setup::new(&[listed("a", node.address, 0)]).shared(&held);
+    let mut old = setup.start();
+    is_ready(&mut old);
+    let mut new = setup.start();
+    is_ready(&mut new);
+    old.told("others=1 ready=true");
+    assert_eq!(old.operate("POST /-/drain"), 200);
+    // The front's question may reach either process.
+    for _ in 0..20 {
+        assert_eq!(old.healthz(), 503, "no from both, from the yes on");
+    }
+    old.signal("-TERM");
+    assert!(old.ended().success(), "asked to end while it is drained");
+    assert_eq!(new.healthz(), 503, "the drain goes on");
+    assert_eq!(new.operate("GET /-/ready"), 200, "though the process could serve");
+    assert_eq!(new.operate("POST /-/resume"), 200);
+    assert_eq!(new.healthz(), 200);
+    assert_eq!(asked(&new, "q"), 200);
+}
+
+/// An enable of what was never out changes nothing, and takes nothing from the disable that follows.
+#[test]
+fn an_enable_before_the_disable_is_no_credit() {
+    let (a, b) = (Serving::new(), Serving::new());
+    let held = shared_port();
+    let nodes = [listed("a", a.address, 0), listed("b", b.address, 0)];
+    let setup = Setup::new(&nodes).shared(&held);
+    let mut mixer = setup.start();
+    is_ready(&mut mixer);
+    for call in ["enable", "enable", "disable"] {
+        assert_eq!(mixer.operate(&format!("POST /-/leaf-servers/a/{call}")), 200);
+    }
+    let out = a.count();
+    for i in 0..20 {
+        assert_eq!(asked(&mixer, &format!("q{i}")), 200);
+    }
+    assert_eq!(a.count(), out, "out");
+    assert_eq!(mixer.operate("POST /-/leaf-servers/a/enable"), 200, "one call back");
+    let mut i = 0;
+    until("used again", || {
+        i += 1;
+        assert_eq!(asked(&mixer, &format!("r{i}")), 200);
+        a.count() > out
+    });
+}
+
+/// Settings that make no sense leave the old ones whole while a node is out, while the mixer is drained and while it
+/// hands over; each is counted, and the log names the field.
+#[test]
+fn broken_settings_change_nothing_during_a_ban_a_drain_and_a_hand_over() {
+    let (a, b) = (Serving::new(), Serving::new());
+    let held = shared_port();
+    let nodes = [listed("a", a.address, 0), listed("b", b.address, 0)];
+    let setup = Setup::new(&nodes).shared(&held);
+    let mut old = setup.start();
+    is_ready(&mut old);
+    let sound = setup.config();
+    let broken = [
+        String::new(),
+        sound[..sound.len() / 2].to_owned(),
+        sound.replace("\"maxAttempts\":3,", ""),
+        sound.replace("\"maxAttempts\":3", "\"maxAttempts\":0"),
+        sound.replace("\"hardLimitMs\":10000", "\"hardLimitMs\":0"),
+    ];
+    let mut rejected = 0;
+    let mut reject = |mixer: &mut Mixer, last: &mut u64| {
+        for text in &broken {
+            std::fs::write(&mixer.config, text).expect("written");
+            mixer.signal("-HUP");
+            *last += 1;
+            mixer.told_anew("the old settings stand");
+        }
+    };
+    assert_eq!(old.operate("POST /-/leaf-servers/a/disable"), 200);
+    let out = a.count();
+    reject(&mut old, &mut rejected);
+    assert_eq!(old.counters()["reloads_rejected"], rejected);
+    assert_eq!(asked(&old, "q1"), 200);
+    assert_eq!(old.operate("POST /-/drain"), 200);
+    reject(&mut old, &mut rejected);
+    assert_eq!(old.healthz(), 503, "drained still");
+    assert_eq!(old.operate("POST /-/resume"), 200);
+    let mut new = setup.start();
+    is_ready(&mut new);
+    old.told("others=1 ready=true");
+    reject(&mut old, &mut rejected);
+    reject(&mut new, &mut rejected);
+    old.signal("-TERM");
+    assert!(old.ended().success());
+    for i in 0..20 {
+        assert_eq!(asked(&new, &format!("r{i}")), 200);
+    }
+    assert_eq!(a.count(), out, "out through it all");
+    assert_eq!(new.counters()["reloads_rejected"], broken.len() as u64);
+}
+
+/// A disk without room: the order is in force all the same, and the log says that it is not kept.
+#[test]
+fn an_order_that_finds_no_room_on_the_disk_holds_in_this_process() {
+    let (a, b) = (Serving::new(), Serving::new());
+    let held = shared_port();
+    let nodes = [listed("a", a.address, 0), listed("b", b.address, 0)];
+    let setup = Setup::new(&nodes).shared(&held);
+    let tmp = setup.tmp.clone().expect("a folder");
+    let mut mixer = setup.start();
+    is_ready(&mut mixer);
+    let folder = std::fs::read_dir(&tmp).expect("read").next().expect("a folder").expect("read").path();
+    // Whatever is written there finds no room.
+    symlink("/dev/full", folder.join("orders.new")).expect("made");
+    let began = Instant::now();
+    assert_eq!(mixer.operate("POST /-/leaf-servers/a/disable"), 200);
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    mixer.told("orders cannot be kept");
+    let out = a.count();
+    for i in 0..20 {
+        assert_eq!(asked(&mixer, &format!("q{i}")), 200);
+    }
+    assert_eq!(a.count(), out, "out in this process");
+    assert!(!folder.join("orders").exists(), "and nowhere else");
+    // Once there is room the next call keeps both orders.
+    assert_eq!(mixer.operate("POST /-/drain"), 200);
+    mixer.kill();
+    let mut next = setup.start();
+    next.told("node out by hand node=\"a\"");
+    assert_eq!(next.healthz(), 503, "drained");
+}
+
+/// A thousand calls at once, beside sixty callers that say nothing and clients that take all their places: each is
+/// answered, and yes means that the order holds.
+#[test]
+fn a_thousand_calls_at_once_are_answered_each() {
+    let (a, b) = (Serving::new(), Serving::new());
+    let held = shared_port();
+    let nodes = [listed("a", a.address, 0), listed("b", b.address, 0)];
+    let setup = Setup::new(&nodes).shared(&held);
+    let mut mixer = setup.start();
+    is_ready(&mut mixer);
+    let at: SocketAddr = mixer.told("operators on ").parse().expect("an address");
+    // More clients than there is room for.
+    let clients: Vec<TcpStream> = (0..700).filter_map(|_| TcpStream::connect(mixer.address).ok()).collect();
+    assert!(clients.len() > 500, "{}", clients.len());
+    let silent: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(at).expect("accepted")).collect();
+    let call = |n: usize| {
+        let path = ["GET /-/ready", "POST /-/leaf-servers/a/disable", "POST /-/leaf-servers/a/enable"][n % 3];
+        format!("{path} HTTP/1.1\r\nHost: m\r\nContent-Length: 0\r\n\r\n")
+    };
+    let mut calls: Vec<TcpStream> = Vec::new();
+    for n in 0..1000 {
+        let mut stream = TcpStream::connect(at).expect("accepted");
+        stream.write_all(call(n).as_bytes()).expect("written");
+        calls.push(stream);
+    }
+    let mut answered = 0;
+    for mut stream in calls {
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        let mut text = String::new();
+        let _ = stream.read_to_string(&mut text);
+        answered += usize::from(text.starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(answered, 1000);
+    drop((silent, clients));
+    assert_eq!(mixer.operate("POST /-/leaf-servers/a/disable"), 200);
+    let out = a.count();
+    thread::sleep(Duration::from_millis(50));
+    for i in 0..10 {
+        assert_eq!(asked(&mixer, &format!("q{i}")), 200);
+    }
+    assert_eq!(a.count(), out);
+}
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -7,59 +7,14 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// An index node that answers all at once and counts the parts for itself.
-struct Serving {
-    address: SocketAddr,
-    parts: Arc<AtomicU64>,
-}
-
-impl Serving {
-    fn new() -> Self {
-        let node = Node::new();
-        let (address, parts) = (node.address, Arc::new(AtomicU64::new(0)));
-        let counted = parts.clone();
-        thread::spawn(move || {
-            for stream in node.listener.incoming().map_while(Result::ok) {
-                let (counted, mut link) = (counted.clone(), Link { stream });
-                thread::spawn(move || {
-                    while let Some((letter, rest)) = link.frame() {
-                        match letter {
-                            'm' => {
-                                counted.fetch_add(1, Ordering::SeqCst);
-                                link.answer(rest.split(' ').next().expect("an id"), "good", "v");
-                            }
-                            'p' => link.put('p', "-"),
-                            _ => {}
-                        }
-                    }
-                });
-            }
-        });
-        Serving { address, parts }
-    }
-
-    fn count(&self) -> u64 {
-        self.parts.load(Ordering::SeqCst)
-    }
-}
-
 fn managed(nodes: &[Listed]) -> Setup {
     Setup { managed: true, ..Setup::new(nodes) }
 }
 
-/// Waits until something is so.
-fn until(what: &str, mut so: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
-    while !so() {
-        assert!(Instant::now() < end, "never: {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 fn asked(mixer: &Mixer, id: &str) -> u16 {
     Client::connect(mixer.address).ask(query(id, "9000m", &[0])).status
 }
@@ -164,38 +119,6 @@
     assert!(mixer.ended().success(), "asked to end while it is drained");
 }
 
-/// Clients that open a connection for each query and clients that keep theirs, for as long as the load goes on; the
-/// number of queries asked and of those not answered with 200.
-fn load(at: SocketAddr, going: &Arc<AtomicBool>, clients: usize) -> Vec<thread::JoinHandle<(u64, u64)>> {
-    let client = |number: usize| {
-        let going = going.clone();
-        thread::spawn(move || {
-            let (mut asked, mut bad, mut kept) = (0, 0, None);
-            while going.load(Ordering::SeqCst) {
-                asked += 1;
-                let keeps = number.is_multiple_of(2);
-                let mut client = kept.take().unwrap_or_else(|| Client::connect(at));
-                match client.try_ask(query(&format!("c{number}-{asked}"), "5000m", &[0])) {
-                    Some(reply) => {
-                        bad += u64::from(reply.status != 200);
-                        let ends = reply.header("Connection") == Some("close");
-                        kept = (keeps && !ends).then_some(client);
-                    }
-                    // Between two requests a close may cross one: asked once more on a new connection.
-                    None if keeps => {
-                        let reply =
-                            Client::connect(at).try_ask(query(&format!("d{number}-{asked}"), "5000m", &[0]));
-                        bad += u64::from(reply.is_none_or(|r| r.status != 200));
-                    }
-                    None => bad += 1,
-                }
-            }
-            (asked, bad)
-        })
-    };
-    (0..clients).map(client).collect()
-}
-
 /// Three versions one after the other under load, with an order given to each: no query is lost, the orders go along.
 #[test]
 fn new_versions_take_over_under_load_with_the_orders() {
