Read a crowd's calls before callers are let go, doubt chances below 0.85, test the hard cases

Seen: of 1,000 calls sent at once beside 60 silent callers 144 were answered (tests/hard_cases.rs): the accept loop took connections on end and let the longest waiting go before their tasks had looked at a call that had arrived. Change: calls that have arrived are read in up to three rounds of the event loop before anybody is let go, and 64 callers at most are held at once; the others wait in the listener's queue. Not yet measured at full size.

--- a/src/decide/logic.rs
+++ b/src/decide/logic.rs
@@ -97,7 +97,7 @@
 /// nothing, and a chance has to be as good as the last.
 const HOPE_PRIOR: f64 = 3.0;
 const HOPE_AIMS: f64 = 2.0;
-const HOPE_LEAST: f64 = 0.7;
+const HOPE_LEAST: f64 = 0.85;
 const HOPE_CHANCE: f64 = 0.6;
 /// What all parts did counts as this many parts of a shard.
 const SHARD_PRIOR: f64 = 4.0;
@@ -776,18 +776,7 @@
         let urge = (self.tail / (LOOK_TAIL * self.shortest_aim)).max(self.bad / LOOK_BAD);
         let pays = self.set.probe_price <= LOOK_WORTH;
         let looks = pays && self.draw.uniform() < (2.0 * urge - 1.0).max(LOOK_LEAST);
-        let (class_of, max_attempts) = (*c, self.set.max_attempts);
-        let query = Query {
-            looks,
-            class: class_of,
-            max_attempts,
-            hope: 0.0,
-            aim_at,
-            end_at,
-            parts: vec![],
-            second: false,
-            first_whole: false,
-        };
+        let query = Query::new(*c, self.set.max_attempts, looks, (aim_at, end_at));
         self.queries.insert(id, query);
         self.open += 1;
         self.add_parts(id, specs);
--- a/src/decide/state.rs
+++ b/src/decide/state.rs
@@ -317,7 +317,7 @@
     /// Its class's rules, and the attempts a part may have, as they were when it came.
     pub class: Class,
     pub max_attempts: u32,
-    /// Its chance by which it was let in, until something came of it.
+    /// Its chance by which it was let in.
     pub hope: f64,
     pub aim_at: f64,
     pub end_at: f64,
@@ -326,6 +326,14 @@
     pub first_whole: bool,
 }
 
+impl Query {
+    pub fn new(class: Class, max_attempts: u32, looks: bool, (aim_at, end_at): (f64, f64)) -> Self {
+        let (hope, parts) = (0.0, vec![]);
+        let (second, first_whole) = (false, false);
+        Query { looks, class, max_attempts, hope, aim_at, end_at, parts, second, first_whole }
+    }
+}
+
 /// The number itself, or a fallback where it is none.
 pub fn sane(x: f64, fallback: f64) -> f64 {
     if x.is_finite() { x } else { fallback }
--- a/src/net/management.rs
+++ b/src/net/management.rs
@@ -13,9 +13,10 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tracing::{info, warn};
@@ -23,6 +24,10 @@
 /// Callers at once; beyond them the one that has waited longest without a whole call goes. Against callers that hold a
 /// connection and say nothing: descriptors are few.
 const CALLERS_MOST: usize = 16;
+/// Callers at once with those whose call is in: more wait in the listener's queue. Each of these is answered soon.
+const CALLS_MOST: usize = 64;
+/// Rounds of the event loop in which a call that has arrived is read for sure.
+const LOOKS: usize = 3;
 /// A call is in by then: whoever needs longer than an answer may take is not asking.
 const CALL_WITHIN: Duration = Duration::from_millis(900);
 /// And its answer is taken by then.
@@ -38,20 +43,19 @@
 
 /// Serves operators until aborted.
 pub(crate) async fn serve(listener: TcpListener, calls: mpsc::Sender<Call>) {
-    let silent = Silent::default();
+    let waiting = Silent::default();
+    let places = Arc::new(Semaphore::new(CALLS_MOST));
     for number in 0.. {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (calls, whole) = (calls.clone(), silent.clone());
-                let task = tokio::task::spawn_local(caller(stream, number, calls, whole));
-                let mut silent = silent.borrow_mut();
-                silent.retain(|(_, task)| !task.is_finished());
-                silent.push_back((number, task.abort_handle()));
-                if silent.len() > CALLERS_MOST
-                    && let Some((_, longest)) = silent.pop_front()
-                {
-                    longest.abort();
-                }
+                let (calls, whole) = (calls.clone(), waiting.clone());
+                let task = tokio::task::spawn_local(async move {
+                    caller(stream, number, calls, whole).await;
+                    drop(place);
+                });
+                waiting.borrow_mut().push_back((number, task.abort_handle()));
+                make_room(&waiting).await;
             }
             Err(e) => {
                 warn!("accepting operators: {e}");
@@ -61,6 +65,27 @@
     }
 }
 
+/// Lets the callers go that have waited longest without a call, where there are too many of them.
+async fn make_room(waiting: &Silent) {
+    let too_many = || {
+        let mut silent = waiting.borrow_mut();
+        silent.retain(|(_, task)| !task.is_finished());
+        silent.len() > CALLERS_MOST
+    };
+    // A call that has arrived is read first: a crowd that asks at once says nothing only for lack of a look.
+    for _ in 0..LOOKS {
+        if !too_many() {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+    while too_many() {
+        if let Some((_, longest)) = waiting.borrow_mut().pop_front() {
+            longest.abort();
+        }
+    }
+}
+
 async fn caller(stream: TcpStream, number: u64, calls: mpsc::Sender<Call>, silent: Silent) {
     let _ = stream.set_nodelay(true);
     let (begun, in_time) = oneshot::channel();
--- a/tests/hard_cases.rs
+++ b/tests/hard_cases.rs
@@ -151,7 +151,7 @@
         sound.replace("\"hardLimitMs\":10000", "\"hardLimitMs\":0"),
     ];
     let mut rejected = 0;
-    let mut reject = |mixer: &mut Mixer, last: &mut u64| {
+    let reject = |mixer: &mut Mixer, last: &mut u64| {
         for text in &broken {
             std::fs::write(&mixer.config, text).expect("written");
             mixer.signal("-HUP");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -794,11 +794,13 @@
         end_all(&mut rig, 50.0 * f64::from(i) + 40.0, outcome, 40.0);
     }
     rig.pass(3000.0, 40_000.0);
-    warm_up_from(&mut rig, 40_000.0);
-    rig.mute = vec![ReplicaId(0), ReplicaId(1)];
     let (mut asked, mut turned_away) = (0, 0);
     for i in 0..20 {
-        let now = 60_000.0 + 3000.0 * f64::from(i);
+        let now = 60_000.0 + 10_000.0 * f64::from(i);
+        // What parts did is forgotten within seconds: known anew each time, whatever the draws.
+        rig.mute.clear();
+        warm_up_from(&mut rig, now - 5100.0);
+        rig.mute = vec![ReplicaId(0), ReplicaId(1)];
         let (sent, probed) = (rig.sends.len(), rig.probes.len());
         let (query, _) = rig.query(now, &[0]);
         if rig.probes.len() == probed {
@@ -812,7 +814,7 @@
         rig.pass(now + 2.0, now + 2900.0);
     }
     assert!(asked > 0, "some queries look by probes");
-    assert_eq!(turned_away, asked);
+    assert_eq!(turned_away, asked, "of those that looked");
 }
 
 /// Quick answers for a while, so that the chances are known.
