--- a/src/decide/logic.rs
+++ b/src/decide/logic.rs
@@ -97,7 +97,7 @@
 /// nothing, and a chance has to be as good as the last.
 const HOPE_PRIOR: f64 = 3.0;
 const HOPE_AIMS: f64 = 2.0;
-const HOPE_LEAST: f64 = 0.85;
+const HOPE_LEAST: f64 = 0.7;
 const HOPE_CHANCE: f64 = 0.6;
 /// What all parts did counts as this many parts of a shard.
 const SHARD_PRIOR: f64 = 4.0;
