Report an inventory's problem that comes within a second of another

Operators saw: an inventory is broken, the log names an older problem or none, and sailmux_lists_refused stays as it is.

Cause: FilePoller::on_rejected dropped a problem that came less than 1 s after the last report and kept nothing of it; the file does not change again, so nothing made up for it. Evidence: an empty file, then a broken one as soon as the empty one's rejection is logged (what a reader finds where the writer is held up between truncate and write): no second report within 15 s, the new test in tests/inventory.rs failed each time. With 1.1 s between the writes, nothing else changed, it passes: the file is read (so it is not a missed modification time), the report was dropped. Change: ProblemReports keeps the current problem until it may be reported; the watcher polls for it. At most one report a second, as before.

--- a/src/endpoints/file_polling.rs
+++ b/src/endpoints/file_polling.rs
@@ -3,13 +3,11 @@
 //! The watching thread (`net::inventory_watch`) opens the files and reports what it found to a [`FilePoller`], which
 //! decides what to do. The poller itself opens nothing.
 
-use super::Millis;
+use super::{Millis, ProblemReports};
 use std::sync::Arc;
 
 /// For how long a missing or unreadable file is not reported: tools that replace a file may remove it for a moment.
 const ABSENCE_TOLERANCE: Millis = 500.0;
-/// Least time between two reported problems of one file.
-const MIN_PROBLEM_INTERVAL: Millis = 1000.0;
 /// After how long a recently modified file is read again: two writes may share one modification time.
 const REREAD_DELAY: Millis = 40.0;
 /// How long a confirmation waits for the list that it names.
@@ -60,9 +58,7 @@
     submitted_digest: Arc<str>,
     reread_at: Option<Millis>,
     absent_since: Option<Millis>,
-    /// The last reported problem; empty if none.
-    reported_problem: String,
-    problem_reported_at: Option<Millis>,
+    problem_reports: ProblemReports,
     pending_confirmation: Option<PendingConfirmation>,
 }
 
@@ -74,8 +70,7 @@
             submitted_digest,
             reread_at: None,
             absent_since: None,
-            reported_problem: String::new(),
-            problem_reported_at: None,
+            problem_reports: ProblemReports::default(),
             pending_confirmation: None,
         }
     }
@@ -111,7 +106,7 @@
                 self.absent_since = None;
                 self.reread_at = recently_modified.then_some(now + REREAD_DELAY);
                 if digest == self.submitted_digest {
-                    self.reported_problem.clear();
+                    self.problem_reports.clear();
                     return PollDecision::Nothing;
                 }
                 PollDecision::Read
@@ -122,21 +117,20 @@
     /// The content was parsed; its list is submitted now.
     pub fn on_submitted(&mut self, digest: Arc<str>) {
         self.submitted_digest = digest;
-        self.reported_problem.clear();
+        self.problem_reports.clear();
     }
 
-    /// The content could not be read or parsed. A repeated problem, or one that comes too soon after the last, is not
-    /// reported.
+    /// The content could not be read or parsed. A repeated problem is not reported; one that comes too soon after the
+    /// last report is left to [`Self::take_due_problem`].
     pub fn on_rejected(&mut self, now: Millis, problem: String) -> PollDecision {
         // The next good list is submitted even if unchanged: it withdraws a list that is held back.
         self.submitted_digest = "".into();
-        let reported_recently = self.problem_reported_at.is_some_and(|at| now - at < MIN_PROBLEM_INTERVAL);
-        if problem == self.reported_problem || reported_recently {
-            return PollDecision::Nothing;
-        }
-        self.reported_problem.clone_from(&problem);
-        self.problem_reported_at = Some(now);
-        PollDecision::Reject(problem)
+        self.problem_reports.record(now, problem).map_or(PollDecision::Nothing, PollDecision::Reject)
+    }
+
+    /// The problem of the current content, if its report had to wait and is due now.
+    pub fn take_due_problem(&mut self, now: Millis) -> Option<String> {
+        self.problem_reports.take_due(now)
     }
 
     /// A confirmation file that names a list's digest was found.
@@ -157,8 +151,10 @@
 
     /// Time until the next check, where `poll_interval` is the usual one.
     pub fn next_poll_after(&self, poll_interval: Millis) -> Millis {
-        let check_soon =
-            self.reread_at.is_some() || self.absent_since.is_some() || self.pending_confirmation.is_some();
+        let check_soon = self.reread_at.is_some()
+            || self.absent_since.is_some()
+            || self.pending_confirmation.is_some()
+            || self.problem_reports.is_pending();
         if check_soon { poll_interval.min(REREAD_DELAY) } else { poll_interval }
     }
 
--- a/src/endpoints/mod.rs
+++ b/src/endpoints/mod.rs
@@ -27,6 +27,7 @@
 mod output;
 mod overrides;
 mod plan;
+mod problem_reports;
 mod provenance;
 mod record;
 mod registry;
@@ -44,6 +45,7 @@
 pub use output::Output;
 pub use overrides::Override;
 pub use plan::Plan;
+pub use problem_reports::ProblemReports;
 pub use provenance::{FieldName, Origin, Provenance};
 pub use record::{
     EndpointRecord, FileList, SharedAddress, SourceLocation, Sourced, Summary, shared_addresses,
--- a/src/net/inventory_watch/mod.rs
+++ b/src/net/inventory_watch/mod.rs
@@ -139,6 +139,7 @@
                 stability = Stability::Unstable;
             }
         }
+        self.send_due_problems()?;
         self.send_confirmations()?;
         Ok(stability)
     }
@@ -195,6 +196,18 @@
         }
     }
 
+    /// Passes on problems whose reports had to wait.
+    fn send_due_problems(&mut self) -> Result<(), AggregatorStopped> {
+        for index in 0..self.files.len() {
+            let watched = &mut self.files[index];
+            if let Some(problem) = watched.poller.take_due_problem(self.clock.now()) {
+                let number = watched.number;
+                self.send(endpoints::Input::FileRejected(number, problem))?;
+            }
+        }
+        Ok(())
+    }
+
     /// Passes on confirmations that are due.
     fn send_confirmations(&mut self) -> Result<(), AggregatorStopped> {
         for index in 0..self.files.len() {
--- a/tests/file_polling.rs
+++ b/tests/file_polling.rs
@@ -59,6 +59,37 @@
     assert_eq!(reported.count(), 5);
 }
 
+#[test]
+fn a_problem_soon_after_another_is_reported_when_the_interval_is_over() {
+    // Guards against a problem that is never reported because another one came less than a second before.
+    let mut poller: FilePoller<u32> = FilePoller::new("one".into());
+    assert_eq!(poller.on_rejected(0.0, "empty".into()), PollDecision::Reject("empty".into()));
+    assert_eq!(poller.on_rejected(100.0, "line 1".into()), PollDecision::Nothing);
+    assert_eq!(poller.on_rejected(200.0, "line 2".into()), PollDecision::Nothing);
+    assert!(poller.next_poll_after(3_600_000.0) < 50.0, "polled until the report is due");
+    assert_eq!(poller.take_due_problem(999.0), None);
+    assert_eq!(poller.take_due_problem(1000.0).as_deref(), Some("line 2"), "the current problem");
+    assert_eq!(poller.take_due_problem(5000.0), None, "reported once");
+    assert_eq!(poller.next_poll_after(200.0), 200.0);
+}
+
+#[test]
+fn a_problem_that_has_gone_before_its_report_is_due_is_not_reported() {
+    let mut poller: FilePoller<u32> = FilePoller::new("one".into());
+    poller.on_rejected(0.0, "empty".into());
+    poller.on_rejected(100.0, "line 1".into());
+    poller.on_rejected(200.0, "empty".into());
+    assert_eq!(poller.take_due_problem(1000.0), None, "the current problem is reported already");
+    poller.on_rejected(1100.0, "line 1".into());
+    poller.on_rejected(1200.0, "line 2".into());
+    poller.on_submitted("two".into());
+    assert_eq!(poller.take_due_problem(9000.0), None, "a list was read");
+    poller.on_rejected(9000.0, "line 3".into());
+    poller.on_submitted("three".into());
+    assert_eq!(poller.on_rejected(9100.0, "line 3".into()), PollDecision::Nothing);
+    assert_eq!(poller.take_due_problem(10_000.0).as_deref(), Some("line 3"), "broken again");
+}
+
 #[test]
 fn a_repeated_problem_is_reported_once_until_a_list_is_read() {
     let mut poller: FilePoller<u32> = FilePoller::new("one".into());
--- a/tests/inventory.rs
+++ b/tests/inventory.rs
@@ -49,6 +49,22 @@
     }
 }
 
+#[test]
+fn the_problem_of_a_list_rejected_soon_after_another_is_reported() {
+    // Guards against a rejection that the log never shows because another one came less than a second before.
+    let server = LeafServer::new();
+    let path = scratch_dir("inventory").join("nodes.yaml");
+    let good = inventory_text("nodes.yaml", &server);
+    fs::write(&path, &good).expect("written");
+    let operator = Some(format!("inventory:\n  file: {}\n", path.display()));
+    let mut aggregator = Setup { operator, ..Setup::new(&[]) }.start();
+    // What a reader finds between a writer's truncation and its write.
+    fs::write(&path, "").expect("written");
+    aggregator.wait_for_log("names no leaf server");
+    fs::write(&path, good.replace("cell: 0", "cell: no")).expect("written");
+    assert!(aggregator.wait_for_log("s0.cell").contains("the previous list stays in force"));
+}
+
 #[test]
 fn invalid_inventory_prevents_the_start_and_is_named_with_its_field() {
     use std::io::Read;
