Log a discovery watch that fails again in the way that was logged last

Operators saw nothing of a watch that ended as the last logged one had, however long ago and with answers in between. Found by looking for the shape of the inventory's fault: a report dropped because an equal one came before.

Cause: net::discovery_watch kept the last logged reason through watches that answered. Evidence: a watch that answers and is cut, twice, 1.1 s apart: one line of the log; the new test in tests/discovery.rs failed (left: unexpected end of file, right: the watch has fallen silent, the line of the call after). Change: an equal reason is the same failure only while no watch has answered; once a second at most otherwise. A first form with all reasons under one limit broke the_known_list_stays_in_force_until_discovery_sends_a_good_one and was dropped.

--- a/src/endpoints/file_polling.rs
+++ b/src/endpoints/file_polling.rs
@@ -3,7 +3,8 @@
 //! The watching thread (`net::inventory_watch`) opens the files and reports what it found to a [`FilePoller`], which
 //! decides what to do. The poller itself opens nothing.
 
-use super::{Millis, ProblemReports};
+use super::Millis;
+use super::problem_reports::ProblemReports;
 use std::sync::Arc;
 
 /// For how long a missing or unreadable file is not reported: tools that replace a file may remove it for a moment.
--- a/src/endpoints/mod.rs
+++ b/src/endpoints/mod.rs
@@ -45,7 +45,6 @@
 pub use output::Output;
 pub use overrides::Override;
 pub use plan::Plan;
-pub use problem_reports::ProblemReports;
 pub use provenance::{FieldName, Origin, Provenance};
 pub use record::{
     EndpointRecord, FileList, SharedAddress, SourceLocation, Sourced, Summary, shared_addresses,
--- a/src/net/discovery_watch/mod.rs
+++ b/src/net/discovery_watch/mod.rs
@@ -28,6 +28,8 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The agent is on this machine: a connection that takes longer is lost.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Least time between two equal entries of the log on watches that had answered.
+const MIN_LOG_INTERVAL: Millis = 1000.0;
 
 /// What every watch of one program shares.
 pub(super) struct DiscoverySource {
@@ -137,6 +139,20 @@
     }
 }
 
+/// The failure of a watch that was logged last.
+struct LoggedFailure {
+    reason: String,
+    at: Millis,
+}
+
+impl LoggedFailure {
+    /// Whether a failure is the same one still: an equal one of a watch that never answered, or one so soon that a
+    /// discovery that ends every watch would fill the log.
+    fn covers(&self, reason: &str, has_answered: bool, now: Millis) -> bool {
+        self.reason == reason && (!has_answered || now - self.at < MIN_LOG_INTERVAL)
+    }
+}
+
 struct DiscoveryWatch {
     address: Arc<str>,
     generation: Rc<Cell<u64>>,
@@ -148,7 +164,7 @@
 impl DiscoveryWatch {
     /// Watches for as long as the program runs.
     async fn run(mut self) -> Result<std::convert::Infallible, AggregatorStopped> {
-        let mut last_logged = String::new();
+        let mut last_logged: Option<LoggedFailure> = None;
         sleep(duration(self.timing.initial_delay())).await;
         loop {
             self.events.send(Event::DiscoveryPolled).await?;
@@ -159,9 +175,10 @@
                 Ok(()) => "the watch has ended".to_owned(),
                 Err(error) => error.to_string(),
             };
-            if reason != last_logged {
+            let now = self.clock.now();
+            if !last_logged.as_ref().is_some_and(|last| last.covers(&reason, has_answered, now)) {
                 warn!("discovery: {reason}");
-                last_logged = reason;
+                last_logged = Some(LoggedFailure { reason, at: now });
             }
             self.events.send(Event::DiscoveryWatchLost { unreadable }).await?;
             sleep(duration(self.timing.next_delay(has_answered))).await;
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -232,3 +232,21 @@
         assert!(error.contains(field), "{wrong}: {error}");
     }
 }
+
+#[test]
+fn a_watch_that_fails_again_after_an_answer_is_logged_again() {
+    // Guards against a failure that is never logged because an equal one was, however long ago.
+    let discovery = Discovery::new();
+    let mut aggregator = Setup { discovery: discovery.address(), ..Setup::new(&[]) }.start();
+    let mut failures = Vec::new();
+    for generation in 1..=2 {
+        let mut watch = discovery.accept();
+        watch.send_event(&list(generation, true, &[]));
+        // Failures are logged once a second at most.
+        std::thread::sleep(Duration::from_millis(1100));
+        drop(watch);
+        let line = aggregator.wait_for_new_log("discovery: ");
+        failures.push(line.split_once("discovery: ").expect("a reason").1.to_owned());
+    }
+    assert_eq!(failures[0], failures[1]);
+}
