Give every rejected query its reason, as a label of a metric and in the log

Change: the balancer's Action::Reject carries a RejectReason (limit on what is in flight, low chance, chances that have not come true, too late, deadline, parts lost, crashes, part too late, retry budget). The aggregator counts them as sailmux_rejections{reason=...} and logs 'query rejected' at level debug.

--- a/src/aggregator/effect.rs
+++ b/src/aggregator/effect.rs
@@ -86,6 +86,15 @@
 pub enum LogEvent {
     /// The balancer's judgement of a replica or of the load has changed.
     Balancer(balancer::LogEvent),
+    /// A query was rejected.
+    QueryRejected {
+        /// The client's identifier for it.
+        name: Arc<str>,
+        /// Its class.
+        class: Arc<str>,
+        /// Why.
+        reason: balancer::RejectReason,
+    },
     /// A graceful shutdown has begun.
     ShutdownRequested,
     /// A connection to a leaf server has ended other than by the aggregator.
--- a/src/aggregator/mod.rs
+++ b/src/aggregator/mod.rs
@@ -25,6 +25,7 @@
 mod query_validation;
 mod records;
 mod reduce;
+mod rejections;
 mod reload;
 mod reply;
 mod send_deadlines;
--- a/src/aggregator/reduce.rs
+++ b/src/aggregator/reduce.rs
@@ -134,7 +134,8 @@
                 let values = self.answer_values(query);
                 self.finish_query(query, Reply::Answer { complete, values });
             }
-            Action::Reject { query, retry_after } => {
+            Action::Reject { query, retry_after, reason } => {
+                self.record_rejection(query, reason);
                 self.finish_query(query, Reply::Rejected { retry_after });
             }
             Action::Fail { query } => self.finish_query(query, Reply::Failed),
--- a/src/aggregator/state.rs
+++ b/src/aggregator/state.rs
@@ -3,6 +3,7 @@
 use super::leaf_connection::LeafConnection;
 use super::ledger_entries::Billing;
 use super::records::{Attempt, Client, LeafServer, Part, Query};
+use super::rejections::RejectionCounters;
 use super::timer::{Timer, TimerQueue};
 use super::{AttemptId, ClientId, ConnectionId, Counters, Lifecycle, Limits, Siblings};
 use crate::balancer::{Balancer, PartId, QueryId, ReplicaId, SettingsError};
@@ -19,6 +20,7 @@
     pub(super) settings: SiteSettings,
     pub(super) balancer: Balancer,
     pub(super) counters: Counters,
+    pub(super) rejections: RejectionCounters,
 
     pub(super) clients: BTreeMap<ClientId, Client>,
     pub(super) queries: BTreeMap<QueryId, Query>,
@@ -73,6 +75,7 @@
             endpoints: EndpointRegistry::new(settings.layout(), guard),
             settings,
             counters: Counters::default(),
+            rejections: RejectionCounters::default(),
             clients: BTreeMap::new(),
             queries: BTreeMap::new(),
             query_names: BTreeSet::new(),
@@ -130,6 +133,7 @@
     /// All counters in the text form that metric collectors read; those by tenant come last.
     pub fn counters_text(&self) -> String {
         let mut text = self.counters.text();
+        text += &self.rejections.text();
         if let Some(billing) = &self.billing {
             text += &billing.metrics_text();
         }
--- a/src/balancer/action.rs
+++ b/src/balancer/action.rs
@@ -1,6 +1,6 @@
 //! What the balancer asks its caller to do.
 
-use super::{Millis, PartId, QueryId, ReplicaId};
+use super::{Millis, PartId, QueryId, RejectReason, ReplicaId};
 
 /// An action that the caller carries out, in the order given.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,6 +37,8 @@
         query: QueryId,
         /// The Retry-After for the client, if clients are sent one.
         retry_after: Option<Millis>,
+        /// Why.
+        reason: RejectReason,
     },
     /// Fail a query, without any promise about its effects. Final.
     Fail {
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -6,7 +6,7 @@
 use super::latency::{ENOUGH_SAMPLES, SAMPLES};
 use super::query_progress::WEIGHT_ROUNDING;
 use super::statistics::{DecayingRatio, RecentSamples};
-use super::{Class, Millis};
+use super::{Class, Millis, RejectReason};
 use std::collections::BTreeMap;
 
 /// A query whose parts find queues is admitted from this chance on.
@@ -144,13 +144,13 @@
         ends
     }
 
-    /// Whether a query is to be shed.
-    pub fn should_shed(
+    /// Why a query is to be shed; none if it is admitted.
+    pub fn shed_reason(
         &self,
         context: AdmissionContext,
         candidate: &AdmissionCandidate,
         occupancy: Occupancy,
-    ) -> bool {
+    ) -> Option<RejectReason> {
         let AdmissionCandidate { forecast, priority, objective } = *candidate;
         let calibration = self.calibration(context);
         let min_chance = if calibration < MIN_CALIBRATION {
@@ -160,7 +160,16 @@
         } else {
             HOPELESS_CHANCE
         };
-        occupancy.is_full_for(priority) || calibration * forecast.chance * priority.cbrt() < min_chance
+        let predicted = forecast.chance * priority.cbrt();
+        if occupancy.is_full_for(priority) {
+            Some(RejectReason::InFlightLimit)
+        } else if calibration * predicted >= min_chance {
+            None
+        } else if predicted >= min_chance {
+            Some(RejectReason::UnreliableChance)
+        } else {
+            Some(RejectReason::LowChance)
+        }
     }
 
     /// How far the chances of admitted queries have come true lately, at most 1. A query is evidence about all replicas
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -11,7 +11,7 @@
 //! | when a replica is ejected as an outlier | `outlier_detection` |
 //! | how much a replica gets while it warms up | `slow_start` |
 //! | how far load reports are trusted, when a health check is sent | `load_reports`, `health_checks` |
-//! | which queries are shed | `query_arrival`, `admission`, `priority`, `client_retries` |
+//! | which queries are shed, and why a query is rejected | `query_arrival`, `admission`, `priority`, `client_retries`, `rejection` |
 //! | which parts of a query are sent next, when it is answered | `query_sending`, `query_progress`, `query_end` |
 //!
 //! [`Balancer`] owns the state of each concern and is the only code that connects them. Random numbers are drawn in a
@@ -36,6 +36,7 @@
 mod query_progress;
 mod query_sending;
 mod random;
+mod rejection;
 mod replica;
 mod retry_budget;
 mod selection;
@@ -48,5 +49,6 @@
 pub use action::{Action, LogEvent};
 pub use event::{Event, LoadReport, Outcome, PartSpec, ReplicaEntry, ReplicaState};
 pub use id::{Millis, PartId, QueryId, ReplicaId};
+pub use rejection::RejectReason;
 pub use settings::{Class, Idempotency, LoadReportMode, RetryBudget, Settings, SettingsError, Tenant};
 pub use state::Balancer;
--- a/src/balancer/query_arrival.rs
+++ b/src/balancer/query_arrival.rs
@@ -11,7 +11,7 @@
 use super::state::Balancer;
 use super::statistics::finite_or;
 use super::sweep::SWEEP_TICKS;
-use super::{Class, Millis, PartId, QueryId};
+use super::{Class, Millis, PartId, QueryId, RejectReason};
 
 /// Work on a query goes on after its latency objective if a late answer keeps at least this share of the value.
 const MIN_LATE_VALUE: f64 = 0.2;
@@ -66,12 +66,14 @@
         let forecast = self.forecast(id, &class, time);
         let occupancy = Occupancy { in_flight: self.in_flight, max_in_flight: self.settings.max_in_flight };
         let candidate = AdmissionCandidate { forecast, priority, objective };
-        let is_shed = self.admission.should_shed(self.admission_context(), &candidate, occupancy);
-        if is_shed && self.admission.record_shed(self.now) {
+        let shed = self.admission.shed_reason(self.admission_context(), &candidate, occupancy);
+        if shed.is_some() && self.admission.record_shed(self.now) {
             actions.push(Action::Log(LogEvent::LoadSheddingStarted { class: arrival.class }));
         }
-        if is_shed || late_value == 0.0 || parts.is_empty() {
-            return self.finish(id, actions);
+        let no_parts = parts.is_empty().then_some(RejectReason::NoParts);
+        let too_late = (late_value == 0.0).then_some(RejectReason::TooLate);
+        if let Some(reason) = no_parts.or(too_late).or(shed) {
+            return self.finish(id, reason, actions);
         }
         if !times.is_late
             && let Some(query) = self.queries.get_mut(&id)
--- a/src/balancer/query_end.rs
+++ b/src/balancer/query_end.rs
@@ -4,7 +4,7 @@
 use super::part::Part;
 use super::query_progress::{Query, WEIGHT_ROUNDING};
 use super::state::Balancer;
-use super::{Class, Millis, PartId, QueryId};
+use super::{Class, Millis, PartId, QueryId, RejectReason};
 
 /// Less coverage than this counts as none.
 const MIN_ANSWERED_COVERAGE: f64 = 4.0 * WEIGHT_ROUNDING;
@@ -40,8 +40,9 @@
 }
 
 impl Balancer {
-    /// Ends a query: with an answer if one may be given, else rejected where a retry is harmless, else failed.
-    pub(super) fn finish(&mut self, id: QueryId, actions: &mut Vec<Action>) {
+    /// Ends a query: with an answer if one may be given, else rejected for a reason where a retry is harmless, else
+    /// failed.
+    pub(super) fn finish(&mut self, id: QueryId, reason: RejectReason, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get(&id) else { return };
         let class = query.class;
         let result = self.query_result(query);
@@ -60,7 +61,7 @@
             }
         } else if query.is_idempotent() || !result.maybe_executed {
             let retry_after = self.retry_after(query);
-            actions.push(Action::Reject { query: id, retry_after });
+            actions.push(Action::Reject { query: id, retry_after, reason });
         } else {
             actions.push(Action::Fail { query: id });
         }
--- a/src/balancer/query_sending.rs
+++ b/src/balancer/query_sending.rs
@@ -7,7 +7,7 @@
 use super::query_progress::{Coverage, PartStatus, Progress, Query, WEIGHT_ROUNDING};
 use super::retry_budget::BudgetUse;
 use super::state::Balancer;
-use super::{Class, Millis, PartId, QueryId};
+use super::{Class, Millis, PartId, QueryId, RejectReason};
 
 /// The second step is left at most this share of the latency objective.
 const MAX_SECOND_STEP_SHARE: f64 = 0.5;
@@ -36,21 +36,24 @@
         let Some(query) = self.queries.get(&id) else { return };
         if query.awaits_second_step() {
             if self.now >= query.deadline_at {
-                self.finish(id, actions);
+                self.finish(id, RejectReason::DeadlineReached, actions);
             }
             return;
         }
         let coverage = Coverage::needed(&query.class, query.in_second_step);
         let progress = self.progress(query, &coverage);
+        if progress.is_lost(&coverage) {
+            return self.finish(id, RejectReason::PartsLost, actions);
+        }
         if self.is_decided(query, &coverage, &progress) {
-            return self.finish(id, actions);
+            return self.finish(id, RejectReason::DeadlineReached, actions);
         }
         let needs_canary = self.needs_canary(query, &progress);
         let crashes_replicas = needs_canary && self.crashes_replicas(query, &progress);
         // Drawn before the query may end, since random numbers are drawn in a fixed order.
         let unsent = self.in_sending_order(&progress.unsent);
         if crashes_replicas {
-            return self.finish(id, actions);
+            return self.finish(id, RejectReason::CrashesReplicas, actions);
         }
         let mut covered = progress.answered + progress.committed;
         for part in unsent {
@@ -95,7 +98,7 @@
             let is_indispensable = is_retry && progress.reachable - weight < coverage.minimum;
             if is_indispensable && !self.within_budget(false, BudgetUse::Required) {
                 // Rejected now, the client may still get an answer in time from another aggregator.
-                return self.finish(id, actions);
+                return self.finish(id, RejectReason::RetryBudget, actions);
             }
         }
     }
@@ -130,16 +133,13 @@
         }
     }
 
-    /// Whether a query is to end now, with an answer or without.
+    /// Whether a query that is not lost is to end now, with an answer or because its time is over.
     fn is_decided(&self, query: &Query, coverage: &Coverage, progress: &Progress) -> bool {
         let margin = PARTIAL_MARGIN_TICKS * self.settings.timer_granularity;
         let partial_is_due = self.now + margin + self.second_step_time(&query.class, query.in_second_step)
             >= query.objective_at
             && progress.is_partial_worth_more_than_late(coverage, &query.class);
-        progress.is_settled(coverage)
-            || partial_is_due
-            || progress.is_lost(coverage)
-            || self.now >= query.deadline_at
+        progress.is_settled(coverage) || partial_is_due || self.now >= query.deadline_at
     }
 
     /// Whether a query sends one part first, as a canary, and the others once that is answered. A query to most
@@ -188,7 +188,7 @@
             // Without this part there is no answer, so work on the others would be wasted.
             let time_left = query.deadline_at - self.now;
             if self.admission.is_hopeless(time_left / self.expected_latency(shard)) {
-                self.finish(query_id, actions);
+                self.finish(query_id, RejectReason::PartTooLate, actions);
                 return SendResult::QueryEnded;
             }
         }
--- a/src/balancer/simulator_protocol/reply.rs
+++ b/src/balancer/simulator_protocol/reply.rs
@@ -142,7 +142,7 @@
                 let corr = requests.name(query.0);
                 write_line(output, &AnswerQuery { cmd: "replyNow", who, corr, complete: *complete })
             }
-            Action::Reject { query, retry_after } => {
+            Action::Reject { query, retry_after, .. } => {
                 let corr = requests.name(query.0);
                 let retry_after_ms = *retry_after;
                 write_line(output, &RejectQuery { cmd: "bounce", who, corr, retry_after_ms })
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -122,6 +122,9 @@
 pub fn aggregator_event(event: &LogEvent) {
     match event {
         LogEvent::Balancer(event) => balancer_event(*event),
+        LogEvent::QueryRejected { name, class, reason } => {
+            debug!(query = &**name, class = &**class, reason = reason.label(), "query rejected");
+        }
         LogEvent::ShutdownRequested => info!("graceful shutdown: answering the queries in flight"),
         LogEvent::LeafConnectionEnded { replica, reason } => {
             info!(replica = replica.0, reason, "leaf connection ended");
--- a/tests/balancer/main.rs
+++ b/tests/balancer/main.rs
@@ -12,6 +12,7 @@
 mod invariants;
 mod load_reports;
 mod outlier_detection;
+mod rejections;
 mod retries;
 mod selection;
 mod slow_start;
--- a/tests/balancer/retries.rs
+++ b/tests/balancer/retries.rs
@@ -187,7 +187,7 @@
     let (query, parts) = harness.query(1.0, &[0]);
     harness.end_attempt(10.0, parts[0], 0, Outcome::Reset, 9.0);
     let retry_after = harness.actions.iter().find_map(|a| match a {
-        Action::Reject { query: q, retry_after } if *q == query => Some(*retry_after),
+        Action::Reject { query: q, retry_after, .. } if *q == query => Some(*retry_after),
         _ => None,
     });
     let wait = retry_after.expect("rejected at once").expect("with a Retry-After");
