Judge a query's queues by the time that its client has, not by its class alone

Cause: a query finds queues if its mean part takes over a quarter of the latency objective of its class. Clients that leave after 175 ms of an objective of 590 were judged by the 590: with parts at 100 ms their queries were let in at a chance of 0.02 to 0.3 of four parts in time. Their work was lost, slowed all others (median part 45 to 130 ms), and the clients came again at once. Ruled out: the limit on what is in flight (0), lost parts (0), the retry budget (0), too late (13). Test: a_query_that_is_unlikely_before_its_client_leaves_is_rejected_whatever_its_class_allows failed before.

--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -11,8 +11,8 @@
 
 /// A query whose parts find queues is admitted from this chance on.
 const MIN_CHANCE: f64 = 0.4;
-/// A query whose mean part takes less than this share of the latency objective finds no queues: shedding load would
-/// not help it.
+/// A query whose mean part takes less than this share of the time available finds no queues: shedding load would not
+/// help it.
 const QUEUED_SHARE: f64 = 0.25;
 /// Below this chance a query is rejected in any case.
 const HOPELESS_CHANCE: f64 = 0.02;
@@ -62,8 +62,8 @@
     pub forecast: Forecast,
     /// From 0 to 1.
     pub priority: f64,
-    /// Its latency objective.
-    pub objective: Millis,
+    /// The time in which its answer is of value: to its latency objective, or until its client leaves if that is sooner.
+    pub available: Millis,
 }
 
 /// The moment of a decision or an observation, and the longest latency objective, by which observations decay.
@@ -151,11 +151,11 @@
         candidate: &AdmissionCandidate,
         occupancy: Occupancy,
     ) -> Option<RejectReason> {
-        let AdmissionCandidate { forecast, priority, objective } = *candidate;
+        let AdmissionCandidate { forecast, priority, available } = *candidate;
         let calibration = self.calibration(context);
         let min_chance = if calibration < MIN_CALIBRATION {
             UNCALIBRATED_MIN_CHANCE
-        } else if forecast.mean_latency > QUEUED_SHARE * objective {
+        } else if forecast.mean_latency > QUEUED_SHARE * available {
             MIN_CHANCE
         } else {
             HOPELESS_CHANCE
--- a/src/balancer/query_arrival.rs
+++ b/src/balancer/query_arrival.rs
@@ -62,10 +62,10 @@
         let weight = self.priorities.record_query(&self.settings, arrival.class, arrival.tenant, parts.len());
         let priority = weight * late_value;
         let objective = if times.is_late { class.latency_objective } else { times.objective };
-        let time = objective.min(times.answer_by - self.now) - self.second_step_time(&class, false);
-        let forecast = self.forecast(id, &class, time);
+        let available = objective.min(times.answer_by - self.now);
+        let forecast = self.forecast(id, &class, available - self.second_step_time(&class, false));
         let occupancy = Occupancy { in_flight: self.in_flight, max_in_flight: self.settings.max_in_flight };
-        let candidate = AdmissionCandidate { forecast, priority, objective };
+        let candidate = AdmissionCandidate { forecast, priority, available };
         let shed = self.admission.shed_reason(self.admission_context(), &candidate, occupancy);
         if shed.is_some() && self.admission.record_shed(self.now) {
             actions.push(Action::Log(LogEvent::LoadSheddingStarted { class: arrival.class }));
--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -189,3 +189,37 @@
     let after: Vec<bool> = (0..60).map(|_| is_admitted(&mut harness, false)).collect();
     assert!(after[40..].iter().all(|admitted| *admitted), "all again: {after:?}");
 }
+
+/// A third of the parts take 100 ms, the others 300; a query of three parts arrives whose client waits this long.
+fn query_with_mixed_latencies(time_left: f64) -> (Harness, QueryId) {
+    let mut harness = Harness::new(settings(), 1);
+    let entries = (0..12).map(|number| ReplicaEntry { cell: number % 3, ..entry(number) }).collect();
+    harness.handle(0.0, Event::EndpointList { complete: true, entries });
+    let mut now = 0.0;
+    for i in 0..60u32 {
+        let latency = if i.is_multiple_of(3) { 100.0 } else { 300.0 };
+        for shard in 0..6 {
+            harness.query(now, &[shard % 3]);
+        }
+        harness.run_timer(now, now + latency);
+        now += latency;
+        harness.end_all(now, Outcome::Ok, latency);
+    }
+    let query = QueryId(90_000);
+    let weight = 1.0 / 3.0;
+    let spec =
+        |shard: u32| PartSpec { part: PartId(90_001 + u64::from(shard)), shard, weight, cost_hint: None };
+    let parts = (0..3).map(spec).collect();
+    harness.handle(now, Event::Query { query, class: 0, tenant: None, time_left, is_retry: false, parts });
+    (harness, query)
+}
+
+/// Guards against work on queries that cannot be answered before their clients leave: their parts keep the replicas
+/// busy and nobody gets an answer. What a class allows says nothing about a client that waits for less.
+#[test]
+fn a_query_that_is_unlikely_before_its_client_leaves_is_rejected_whatever_its_class_allows() {
+    let (harness, query) = query_with_mixed_latencies(200.0);
+    assert!(harness.is_rejected(query));
+    let (harness, query) = query_with_mixed_latencies(2000.0);
+    assert!(!harness.is_rejected(query));
+}
