Add up the silence of a replica over its attempts, however soon each is given up

Callers saw: parts went on to leaf servers that hang, and every query with such a part failed when its client left.

Cause: the evidence of silence was that of a single attempt. A query that ends takes its parts with it; an attempt given up after 170 ms at a median of 45 (or of 120 under load) says 'at most 3.8 (1.4) times slower', an outlier is 4. So a leaf server that answered nothing for 2.5 s looked idle and no slower than the others. Change: waits in vain add up until the replica responds; attempts that waited at the same time count once. Test: an_unresponsive_replica_is_ejected_though_its_attempts_are_cancelled_early; 16 of 240 parts went to the silent replica before, 1 now.

--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -224,7 +224,7 @@
             }
             Outcome::Cancelled | Outcome::Timeout => {
                 if ended.is_reliable {
-                    replica.evidence.record_silence(&criteria, ratio);
+                    replica.evidence.record_silence(&criteria, ended.elapsed);
                 }
             }
             Outcome::NotSent => {}
--- a/src/balancer/outlier_detection.rs
+++ b/src/balancer/outlier_detection.rs
@@ -80,12 +80,36 @@
     pub slowdown: f64,
 }
 
+/// How long attempts at one replica have waited in vain since its last response. A single one is given up when its query
+/// ends, often too soon to tell a replica that hangs from a slow one.
+#[derive(Default)]
+struct Silence {
+    /// When the first of them was sent.
+    since: Option<Millis>,
+    /// The sum of their waits.
+    waited: Millis,
+}
+
+impl Silence {
+    /// Adds an attempt that is given up now.
+    fn add(&mut self, now: Millis, waited: Millis) {
+        self.since.get_or_insert(now - waited);
+        self.waited += waited;
+    }
+
+    /// The time waited; attempts that waited at the same time count once.
+    fn duration(&self, now: Millis) -> Millis {
+        self.since.map_or(0.0, |since| self.waited.min(now - since))
+    }
+}
+
 /// The evidence of one replica's recent attempts.
 pub(super) struct Evidence {
     failures: f64,
     /// Failures in a row; an answer halves it.
     streak: f64,
     last_answer_at: Millis,
+    silence: Silence,
     slowdown: f64,
     updated_at: Millis,
     /// It was an outlier, and has given no good answer since.
@@ -99,6 +123,7 @@
             failures: 0.0,
             streak: 0.0,
             last_answer_at: f64::NEG_INFINITY,
+            silence: Silence::default(),
             slowdown: 1.0,
             updated_at: 0.0,
             on_probation: false,
@@ -112,6 +137,7 @@
     pub fn reset(&mut self) {
         self.failures = 0.0;
         self.streak = 0.0;
+        self.silence = Silence::default();
         self.slowdown = 1.0;
         self.on_probation = false;
     }
@@ -135,6 +161,7 @@
     /// An answer came after `ratio` times the median. `is_reliable`: this aggregator has not stalled meanwhile.
     pub fn record_answer(&mut self, now: Millis, ratio: f64, is_reliable: bool) {
         self.last_answer_at = now;
+        self.silence = Silence::default();
         self.streak = (self.streak / 2.0).floor();
         self.on_probation &= ratio > OUTLIER_SLOWDOWN;
         if is_reliable {
@@ -142,10 +169,11 @@
         }
     }
 
-    /// No answer came within `ratio` times the median.
-    pub fn record_silence(&mut self, criteria: &OutlierCriteria, ratio: f64) {
-        let silent_for = criteria.now - self.last_answer_at;
-        self.slowdown = self.slowdown.max(ratio.min(silent_for / criteria.median_latency));
+    /// An attempt was given up after it had waited for this long without an answer.
+    pub fn record_silence(&mut self, criteria: &OutlierCriteria, waited: Millis) {
+        self.silence.add(criteria.now, waited);
+        let silent_for = self.silence.duration(criteria.now).min(criteria.now - self.last_answer_at);
+        self.slowdown = self.slowdown.max((silent_for / criteria.median_latency).min(MAX_EVIDENCE));
     }
 
     /// A health check failed: never enough for an ejection, not even with earlier failures.
@@ -160,6 +188,9 @@
 
     /// An attempt failed; the more in a row, the longer it counts.
     pub fn record_failure(&mut self, outcome: Outcome) {
+        if matches!(outcome, Outcome::Error | Outcome::Rejected) {
+            self.silence = Silence::default();
+        }
         self.streak = (self.streak + 1.0).min(MAX_EVIDENCE);
         let weight = if outcome == Outcome::Rejected { 1.0 } else { FAILURE_WEIGHT };
         self.failures = (self.failures + weight * self.streak).min(MAX_EVIDENCE);
--- a/tests/balancer/outlier_detection.rs
+++ b/tests/balancer/outlier_detection.rs
@@ -40,6 +40,36 @@
     assert!(late_selections <= 3, "{late_selections} of 40 parts still went to the silent replica");
 }
 
+/// Guards against a replica that hangs and looks idle and quick again each time a client leaves: no single attempt waits
+/// long enough to show that it does not answer.
+#[test]
+fn an_unresponsive_replica_is_ejected_though_its_attempts_are_cancelled_early() {
+    let mut harness = Harness::new(settings(), 2);
+    harness.list_replicas(3);
+    harness.warm_up(3000.0, 50.0);
+    let mut sent_at = std::collections::HashMap::new();
+    let mut late_selections = 0;
+    for i in 0..60 {
+        let now = 3000.0 + 50.0 * f64::from(i);
+        // The healthy replicas have queues, against which an idle one looks attractive.
+        for _ in 0..6 {
+            let (part, replica) = harness.query_one_shard(now, 0);
+            sent_at.insert(part, now);
+            late_selections += u32::from(i >= 20 && replica == ReplicaId(0));
+        }
+        let end = now + 49.0;
+        for InFlight { part, attempt } in harness.in_flight.clone() {
+            let waited = sent_at.get(&part).map_or(0.0, |sent_at| end - sent_at);
+            if harness.replica_of(part, attempt) != ReplicaId(0) {
+                harness.end_attempt(end, part, attempt, Outcome::Ok, 49.0);
+            } else if waited >= 100.0 {
+                harness.end_attempt(end, part, attempt, Outcome::Cancelled, waited);
+            }
+        }
+    }
+    assert!(late_selections <= 4, "{late_selections} of 240 parts still went to the silent replica");
+}
+
 /// One refused connection or error is enough to prefer other replicas.
 #[test]
 fn one_failed_attempt_makes_other_replicas_preferred() {
