--- a/tests/common/process/program.rs
+++ b/tests/common/process/program.rs
@@ -196,6 +196,13 @@
         self.signal("-CONT");
     }
 
+    /// The memory that the process holds, in KB.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0 kB");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("it can be waited for").is_none()
     }
--- /dev/null
+++ b/tests/soak/client.rs
@@ -0,0 +1,151 @@
+//! Clients that keep their connections and use them as long as they stay open.
+
+use super::common::process::query;
+use super::observations::{Observations, Request, RequestEnd};
+use super::plan::Draws;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// For how long after SIGTERM new connections come.
+pub const NEW_CONNECTIONS_AFTER_SIGTERM: Duration = Duration::from_millis(400);
+/// A request that is answered this long after its deadline earns nothing; later it is lost.
+pub const LATE_ANSWER: Duration = Duration::from_millis(500);
+
+/// An aggregator as clients know it.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    pub address: SocketAddr,
+    pub terminated_at: Option<Instant>,
+}
+
+impl Target {
+    fn takes_new_connections(&self) -> bool {
+        self.terminated_at.is_none_or(|at| at.elapsed() < NEW_CONNECTIONS_AFTER_SIGTERM)
+    }
+}
+
+/// One client.
+pub struct SoakClient {
+    pub number: usize,
+    pub draws: Draws,
+    pub deadline: Duration,
+    pub targets: Arc<Mutex<Vec<Target>>>,
+    pub observations: Arc<Observations>,
+}
+
+/// An open connection.
+struct Connection {
+    stream: TcpStream,
+    requests: u32,
+}
+
+impl SoakClient {
+    /// Sends one request after the other until it is told to end.
+    pub fn run(mut self, is_running: impl Fn() -> bool) {
+        let mut connection = None;
+        let mut count = 0;
+        while is_running() {
+            let Some(mut open) = connection.take().or_else(|| self.connect()) else {
+                thread::sleep(Duration::from_millis(10));
+                continue;
+            };
+            count += 1;
+            let end = self.request(&mut open, count);
+            if matches!(end, RequestEnd::Answered { .. }) {
+                connection = Some(open);
+            }
+            thread::sleep(self.draws.millis(1, 40));
+        }
+    }
+
+    fn connect(&mut self) -> Option<Connection> {
+        let targets = self.targets.lock().expect("whole").clone();
+        let target = targets[self.draws.below(targets.len() as u64) as usize];
+        if !target.takes_new_connections() {
+            return None;
+        }
+        let began_at = Instant::now();
+        match TcpStream::connect(target.address) {
+            Ok(stream) => Some(Connection { stream, requests: 0 }),
+            Err(error) => {
+                let since = self.observations.started_at.elapsed();
+                let problem = format!("{since:?}: connection to {target:?} begun at {began_at:?}: {error}");
+                self.observations.refused.lock().expect("whole").push(problem);
+                None
+            }
+        }
+    }
+
+    /// Sends a request and waits for its end.
+    fn request(&mut self, connection: &mut Connection, count: u32) -> RequestEnd {
+        let id = format!("c{}-{count}", self.number);
+        let first = self.draws.below(3) as u32;
+        let shards: Vec<u32> = (0..=self.draws.below(3) as u32).map(|next| (first + next) % 3).collect();
+        let text = query(&id, &format!("{}m", self.deadline.as_millis()), &shards);
+        let leaves_after = self.draws.one_in(12).then(|| self.draws.millis(1, 60));
+        let in_pieces = self.draws.one_in(10);
+        let written = write(&mut connection.stream, text.as_bytes(), in_pieces);
+        let sent_at = Instant::now();
+        let end = match (written, leaves_after) {
+            (Err(_), _) => RequestEnd::Closed,
+            (Ok(()), Some(time)) => {
+                thread::sleep(time);
+                let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+                RequestEnd::Left
+            }
+            (Ok(()), None) => read_answer(&mut connection.stream, sent_at + self.deadline + 4 * LATE_ANSWER),
+        };
+        let reused_connection = connection.requests > 0;
+        connection.requests += 1;
+        let request =
+            Request { id, shards, sent_at, ended_at: Instant::now(), end: end.clone(), reused_connection };
+        self.observations.requests.lock().expect("whole").push(request);
+        end
+    }
+}
+
+fn write(stream: &mut TcpStream, bytes: &[u8], in_pieces: bool) -> std::io::Result<()> {
+    if !in_pieces {
+        return stream.write_all(bytes);
+    }
+    for piece in bytes.chunks(bytes.len().div_ceil(4)) {
+        stream.write_all(piece)?;
+        thread::sleep(Duration::from_millis(15));
+    }
+    Ok(())
+}
+
+fn read_answer(stream: &mut TcpStream, give_up_at: Instant) -> RequestEnd {
+    let mut answer = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let time_left = give_up_at.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+        stream.set_read_timeout(Some(time_left)).expect("set");
+        match stream.read(&mut chunk) {
+            Ok(count) if count > 0 => answer.extend_from_slice(&chunk[..count]),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return RequestEnd::Unanswered;
+            }
+            _ if answer.is_empty() => return RequestEnd::Closed,
+            _ => return RequestEnd::Truncated,
+        }
+        if let Some(end) = parse_answer(&answer) {
+            return end;
+        }
+    }
+}
+
+/// The answer, once it is whole.
+fn parse_answer(answer: &[u8]) -> Option<RequestEnd> {
+    let text = String::from_utf8_lossy(answer);
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        name.eq_ignore_ascii_case("content-length").then(|| value.parse::<usize>().ok())?
+    });
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    (body.len() >= length.unwrap_or(0)).then(|| RequestEnd::Answered { status, body: body.to_owned() })
+}
