Let the ledger's thread sleep while its disk fails and a commit is overdue

Callers could see: with one core, the ledger's thread took it from the event loop while the disk failed. Cause: Timers::next_wake preferred the overdue commit, which is not carried out while the disk fails, to the next attempt.

--- a/src/ledger/writer/timers.rs
+++ b/src/ledger/writer/timers.rs
@@ -24,7 +24,8 @@
     /// When the thread must wake up at the latest. `retry_at` is the next attempt on a disk that fails.
     pub fn next_wake(&self, retry_at: Option<Instant>) -> Instant {
         let request_check = self.requests_checked + REQUEST_CHECK_INTERVAL;
-        let write = self.commit_at.or(retry_at);
+        // While the disk fails no commit is carried out before the next attempt.
+        let write = retry_at.or(self.commit_at);
         write.map_or(request_check, |write| write.min(request_check))
     }
 
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -213,6 +213,38 @@
     assert!(Store::open(damaged_disk, calendar(), options, "n1", NOVEMBER).is_err(), "another version");
 }
 
+/// Processor time of this thread, in the kernel's ticks of 10 ms.
+fn thread_ticks() -> u64 {
+    let stat = std::fs::read_to_string("/proc/thread-self/stat").expect("readable");
+    let after_name = stat.rsplit_once(')').expect("a name").1;
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    // utime and stime.
+    fields[11..13].iter().map(|ticks| ticks.parse::<u64>().expect("a number")).sum()
+}
+
+#[test]
+fn the_writer_sleeps_between_attempts_at_a_failing_disk() {
+    // Guards against a thread that takes a whole core while the disk fails and a commit is overdue.
+    let disk = FaultyDisk::default();
+    let (store, _) = open(&disk, NOVEMBER).expect("new");
+    disk.fail(Some(ErrorKind::StorageFull));
+    let writer = Writer::new(store, Duration::from_millis(10), &small_segments(), |_| {});
+    let (mut handle, intake) = queue();
+    let client = std::thread::spawn(move || {
+        for n in 0..2 {
+            handle.enqueue(entry(n, NOVEMBER));
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        // Less than the time to the next attempt.
+        std::thread::sleep(Duration::from_millis(350));
+    });
+    let before = thread_ticks();
+    writer.run(intake, || NOVEMBER);
+    let used = thread_ticks() - before;
+    client.join().expect("done");
+    assert!(used <= 10, "{used} ticks of 45");
+}
+
 #[test]
 fn failing_disk_does_not_block_and_lost_entries_become_a_gap_with_bounds() {
     for kind in [ErrorKind::StorageFull, ErrorKind::ReadOnlyFilesystem] {
