Publish the reasons of rejections among the metric names that stay

Cause: the test compares all names of /metrics with a list, and ten labelled ones were new. Change: the labelled names have a list of their own, in order; the others are compared with the same list as before, and their TYPE lines with the same check. Nothing is left out of either.

--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -284,7 +284,11 @@
 fn metrics_keep_their_published_names_and_order() {
     let text = aggregator().counters_text();
     let names = text.lines().filter(|line| !line.starts_with('#')).filter_map(|line| line.split(' ').next());
-    let names: Vec<&str> = names.collect();
+    let (names, labelled): (Vec<&str>, Vec<&str>) = names.partition(|name| !name.contains('{'));
+    assert!(text.contains("# TYPE sailmux_rejections counter\nsailmux_rejections{"), "{text}");
+    let rejections = PUBLISHED_REJECTION_REASONS.split_whitespace();
+    let rejections = rejections.map(|reason| format!("sailmux_rejections{{reason=\"{reason}\"}}"));
+    assert_eq!(labelled, rejections.collect::<Vec<_>>());
     let expected: Vec<String> =
         PUBLISHED_METRICS.split_whitespace().map(|name| format!("sailmux_{name}")).collect();
     assert_eq!(names, expected);
@@ -293,6 +297,8 @@
     }
 }
 
+const PUBLISHED_REJECTION_REASONS: &str = "no_parts in_flight_limit low_chance unreliable_chance too_late \
+    deadline_reached parts_lost crashes_replicas part_too_late retry_budget";
 const PUBLISHED_METRICS: &str = "
     clients_opened clients_closed clients_shed queries_taken parts_taken queries_malformed
     answers_whole answers_partial queries_refused queries_failed queries_expired clients_gone
