Let the balancer end a query before its last timer does, also after a stall

Callers saw: 504, which promises nothing, where 503 says that a retry is harmless; seen once as a failure of stalled_leaf_does_not_block_the_aggregator beside 8 busy processes.

Cause: the balancer ends a query 25 ms before its deadline; a process that stands still over both moments fires all due timers first and lets the balancer run after them, so the last timer answered 504. Evidence: both new tests failed before: the reducer called 140 ms late gave Some(Expired); a process stopped from 0.1 s before a deadline to 0.1 s after it answered 504 to a client of a silent leaf server, with no other load. That the one failure had this stall was not seen, its log was not kept. Change: before the last timer of a query acts, the balancer handles what is pending.

--- a/src/aggregator/reduce.rs
+++ b/src/aggregator/reduce.rs
@@ -90,7 +90,11 @@
     fn fire_timer(&mut self, timer: Timer) {
         match timer {
             Timer::Balancer => self.balancer_events.push_back(balancer::Event::Timer),
-            Timer::QueryDeadline(query) => self.query_expired(query),
+            Timer::QueryDeadline(query) => {
+                // After a stall the balancer's timer is due as well: its decision comes first.
+                self.run_balancer();
+                self.query_expired(query);
+            }
             Timer::AttemptTimeout(attempt) => self.attempt_timed_out(attempt),
             Timer::SendDeadline(attempt) => self.send_deadline_passed(attempt),
             Timer::ConnectTimeout(connection) => self.connect_timed_out(connection),
--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -310,3 +310,21 @@
     lists_unreadable watches_lost ledger_entries ledger_lost ledger_failures ledger_periods_closed
     ledger_exports operations operations_refused reloads reloads_rejected
 ";
+
+#[test]
+fn a_query_whose_deadline_passes_in_a_stall_is_ended_by_the_balancer() {
+    // Guards against 504 in place of 503 (or of an answer from less) where all timers of a stall are due at once.
+    let (mut state, connection, _) = aggregator_with_waiting_part();
+    reduce(&mut state, START + 2.0, Event::Connected(connection));
+    let mut now = START + 2.0;
+    while now < START + 4960.0 {
+        now += 5.0;
+        reduce(&mut state, now, Event::TimerFired);
+    }
+    let effects = reduce(&mut state, START + 5100.0, Event::TimerFired);
+    let reply = effects.iter().find_map(|effect| match effect {
+        Effect::Reply { reply, .. } => Some(reply),
+        _ => None,
+    });
+    assert!(matches!(reply, Some(Reply::Rejected { .. })), "{reply:?}");
+}
--- a/tests/leaf_connections.rs
+++ b/tests/leaf_connections.rs
@@ -5,6 +5,7 @@
 use common::leaf_setups::*;
 use common::process::*;
 use std::io::Write;
+use std::time::{Duration, Instant};
 
 /// The leaf server must know that the first attempt is over before the second leaves: never two in flight at once.
 #[test]
@@ -243,3 +244,20 @@
         assert_eq!(counters["reports_read"], read, "{report:?}");
     }
 }
+
+/// Guards against 504 in place of 503 where the aggregator stands still as a query's deadline passes.
+#[test]
+fn a_query_whose_deadline_passes_while_the_aggregator_stands_still_is_rejected() {
+    let leaf = LeafServer::new();
+    let aggregator = with_leaves(&[&leaf]).start();
+    let mut client = Client::connect(aggregator.address);
+    client.send(query("q", "1000m", &[0]));
+    let sent_at = Instant::now();
+    leaf.accept().next_part();
+    let stopped_at = sent_at + Duration::from_millis(900);
+    std::thread::sleep(stopped_at.saturating_duration_since(Instant::now()));
+    aggregator.pause();
+    std::thread::sleep(Duration::from_millis(200));
+    aggregator.resume();
+    assert_eq!(client.response().status, 503);
+}
