--- a/tests/balancer/health_checks.rs
+++ b/tests/balancer/health_checks.rs
@@ -128,3 +128,28 @@
         harness.end_all(from + 50.0 * f64::from(i) + 40.0, Outcome::Ok, 40.0);
     }
 }
+
+/// Guards against a part that is sent for a client that has gone: it disconnects while its query waits for health checks.
+#[test]
+fn a_query_whose_client_disconnects_while_it_awaits_health_checks_sends_nothing() {
+    let mut harness = Harness::new(settings(), 1);
+    harness.list_replicas(3);
+    harness.unresponsive = (0..3).map(ReplicaId).collect();
+    let is_sent =
+        |harness: &Harness, parts: &[PartId]| harness.sends.iter().any(|sent| sent.part == parts[0]);
+    let mut waiting = harness.query(1.0, &[0]);
+    while is_sent(&harness, &waiting.1) {
+        assert!(harness.sends.len() < 100, "no query awaits a health check");
+        waiting = harness.query(1.0, &[0]);
+    }
+    let (query, parts) = waiting;
+    harness.handle(2.0, Event::ClientDisconnected { query });
+    for replica in harness.health_checks.clone() {
+        harness.handle(
+            3.0,
+            Event::HealthCheckEnded { replica, outcome: Outcome::Ok, elapsed: 2.0, report: None },
+        );
+    }
+    harness.run_timer(3.0, 500.0);
+    assert!(!is_sent(&harness, &parts));
+}
--- a/tests/soak/discovery.rs
+++ b/tests/soak/discovery.rs
@@ -101,7 +101,7 @@
     pub fn tell(&self, list: String) -> Instant {
         const TOLD_AT_THE_LATEST: Duration = Duration::from_secs(6);
         let mut state = self.state.lock().expect("whole");
-        state.list = list.clone();
+        state.list.clone_from(&list);
         let now = Instant::now();
         if let Some(until) = state.silent_until.filter(|until| now < *until) {
             return until + TOLD_AT_THE_LATEST;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -42,6 +42,8 @@
     draining: Vec<usize>,
     discovery: SoakDiscovery,
     aggregators: Vec<Aggregator>,
+    /// Processes that no client knows, and when they were told to end.
+    short_lived: Vec<(Aggregator, Instant)>,
     targets: Arc<Mutex<Vec<Target>>>,
     breaks: Vec<String>,
 }
@@ -61,6 +63,7 @@
             draining: Vec::new(),
             discovery,
             aggregators: Vec::new(),
+            short_lived: Vec::new(),
             targets: Arc::default(),
             breaks: Vec::new(),
         };
@@ -113,7 +116,15 @@
         self.terminate_the_others();
         let terminated = self.targets.lock().expect("whole").clone();
         for (number, target) in terminated.iter().enumerate() {
-            self.check_exit(number, target.terminated_at.expect("told to end"));
+            let kill_at = self.kill_at(target.terminated_at.expect("told to end"));
+            if !exits_by(&mut self.aggregators[number], kill_at) {
+                self.breaks.push(format!("aggregator {number} has not ended by itself before the kill"));
+            }
+        }
+        for (mut aggregator, terminated_at) in std::mem::take(&mut self.short_lived) {
+            if !exits_by(&mut aggregator, self.kill_at(terminated_at)) {
+                self.breaks.push("a process told to end as it started has not ended by itself".to_owned());
+            }
         }
         running.store(false, Ordering::SeqCst);
         for client in clients {
@@ -166,6 +177,12 @@
                 }
             }
             Step::Signal { aggregator, signal } => self.send_signal(aggregator, signal),
+            Step::Start => self.start_aggregator(),
+            Step::StartAndTerminate => {
+                let aggregator = Aggregator::start(&self.config(), None);
+                aggregator.signal("-TERM");
+                self.short_lived.push((aggregator, Instant::now()));
+            }
         }
     }
 
@@ -194,17 +211,21 @@
         }
     }
 
-    /// Whether an aggregator ends by itself before the kill.
-    fn check_exit(&mut self, number: usize, terminated_at: Instant) {
-        let kill_at = terminated_at + self.plan.deadline.max(SHORTEST_KILL_DEADLINE) + KILL_AFTER_DEADLINE;
-        while Instant::now() < kill_at && self.aggregators[number].is_running() {
-            thread::sleep(Duration::from_millis(5));
-        }
-        if self.aggregators[number].is_running() {
-            self.breaks.push(format!("aggregator {number} has not ended by itself before the kill"));
-            self.aggregators[number].kill();
-        }
+    fn kill_at(&self, terminated_at: Instant) -> Instant {
+        terminated_at + self.plan.deadline.max(SHORTEST_KILL_DEADLINE) + KILL_AFTER_DEADLINE
+    }
+}
+
+/// Whether an aggregator ends by itself until the kill; else it is killed.
+fn exits_by(aggregator: &mut Aggregator, kill_at: Instant) -> bool {
+    while Instant::now() < kill_at && aggregator.is_running() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let has_ended = !aggregator.is_running();
+    if !has_ended {
+        aggregator.kill();
     }
+    has_ended
 }
 
 /// The endpoint list: two leaf servers for each cell.
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -7,7 +7,7 @@
 /// Leaf servers: two for each of the three cells.
 pub const LEAF_SERVERS: usize = 6;
 /// How long clients send requests.
-pub const LOAD_TIME: Duration = Duration::from_millis(5000);
+pub const LOAD_TIME: Duration = Duration::from_secs(5);
 
 /// What a repeated part does.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,6 +48,10 @@
         aggregator: usize,
         signal: &'static str,
     },
+    /// One more process, which clients use once it is ready.
+    Start,
+    /// One more process, told to end as soon as it listens.
+    StartAndTerminate,
 }
 
 /// All that one seed draws.
@@ -102,6 +106,11 @@
         };
         plan.draw_faults(&mut draws);
         plan.draw_signals(&mut draws);
+        for step in [Step::Start, Step::StartAndTerminate] {
+            if draws.one_in(2) {
+                plan.steps.push((draws.millis(500, 4000), step));
+            }
+        }
         plan.steps.sort_by_key(|(at, _)| *at);
         plan
     }
