--- a/tests/common/process/setup.rs
+++ b/tests/common/process/setup.rs
@@ -55,6 +55,7 @@
 }
 
 /// What an aggregator is started with.
+#[derive(Clone)]
 pub struct Setup {
     pub known_list: String,
     pub discovery: String,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -41,6 +41,9 @@
     leaves: Vec<SoakLeaf>,
     draining: Vec<usize>,
     discovery: SoakDiscovery,
+    /// What the first aggregator and its successor are started with, and the port that they share.
+    shared: Setup,
+    _shared_port: tokio::net::TcpSocket,
     aggregators: Vec<Aggregator>,
     /// Processes that no client knows, and when they were told to end.
     short_lived: Vec<(Aggregator, Instant)>,
@@ -56,7 +59,10 @@
         let leaves: Vec<SoakLeaf> =
             (0..LEAF_SERVERS).map(|number| SoakLeaf::start(number, &observations)).collect();
         let discovery = SoakDiscovery::start(endpoint_list(1, &leaves, &[]));
+        let port = shared_port();
         let mut soak = Soak {
+            shared: Setup::new(&[]).shared(&port),
+            _shared_port: port,
             plan,
             observations,
             leaves,
@@ -67,15 +73,18 @@
             targets: Arc::default(),
             breaks: Vec::new(),
         };
-        for _ in 0..soak.plan.aggregators {
-            soak.start_aggregator();
+        let Setup { listen, has_admin_address, tmp_dir, .. } = soak.shared.clone();
+        soak.shared = Setup { listen, has_admin_address, tmp_dir, ..soak.setup() };
+        soak.start_aggregator(&soak.shared.clone());
+        for _ in 1..soak.plan.aggregators {
+            soak.start_aggregator(&soak.setup());
         }
         soak
     }
 
-    fn start_aggregator(&mut self) {
+    fn start_aggregator(&mut self, setup: &Setup) {
         let started_at = Instant::now();
-        let aggregator = Aggregator::start(&self.config(), None);
+        let aggregator = self.spawn(setup);
         wait_until("an aggregator is ready", || aggregator.healthz() == 200);
         if started_at.elapsed() > READY_WITHIN {
             self.breaks.push(format!("ready after {:?}", started_at.elapsed()));
@@ -85,19 +94,37 @@
         self.aggregators.push(aggregator);
     }
 
-    fn config(&self) -> String {
-        let setup = Setup {
+    fn setup(&self) -> Setup {
+        Setup {
             deadline_ms: self.plan.deadline.as_millis() as u32,
             discovery: self.discovery.address.to_string(),
             known_list: endpoint_list(1, &self.leaves, &[]),
             ..Setup::new(&[])
-        };
+        }
+    }
+
+    fn spawn(&self, setup: &Setup) -> Aggregator {
         let effect = match self.plan.effect {
             Effect::Retryable => "\"effect\":\"retryable\"".to_owned(),
             Effect::Dedup { window } => format!("\"effect\":\"dedup\",\"windowMs\":{}", window.as_millis()),
             Effect::Fragile => "\"effect\":\"fragile\"".to_owned(),
         };
-        setup.config().replace("\"effect\":\"retryable\"", &effect)
+        let config = setup.config().replace("\"effect\":\"retryable\"", &effect);
+        Aggregator::start_in(&config, None, setup.tmp_dir.as_deref())
+    }
+
+    /// Replaces the first aggregator, unless it was told to end already.
+    fn hot_restart(&mut self) {
+        if self.targets.lock().expect("whole")[0].terminated_at.is_some() {
+            return;
+        }
+        let shared = self.shared.clone();
+        let mut successor = self.spawn(&shared);
+        successor.wait_for_log("to=\"ready\"");
+        self.send_signal(0, "-TERM");
+        let target = Target { address: successor.address, terminated_at: None };
+        self.targets.lock().expect("whole").push(target);
+        self.aggregators.push(successor);
     }
 
     /// Plays the plan under load; gives the breaks of the rules.
@@ -177,9 +204,10 @@
                 }
             }
             Step::Signal { aggregator, signal } => self.send_signal(aggregator, signal),
-            Step::Start => self.start_aggregator(),
+            Step::HotRestart => self.hot_restart(),
+            Step::Start => self.start_aggregator(&self.setup()),
             Step::StartAndTerminate => {
-                let aggregator = Aggregator::start(&self.config(), None);
+                let aggregator = self.spawn(&self.setup());
                 aggregator.signal("-TERM");
                 self.short_lived.push((aggregator, Instant::now()));
             }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -48,6 +48,8 @@
         aggregator: usize,
         signal: &'static str,
     },
+    /// The first aggregator's successor starts at its address; the first one is told to end once that is ready.
+    HotRestart,
     /// One more process, which clients use once it is ready.
     Start,
     /// One more process, told to end as soon as it listens.
@@ -106,7 +108,7 @@
         };
         plan.draw_faults(&mut draws);
         plan.draw_signals(&mut draws);
-        for step in [Step::Start, Step::StartAndTerminate] {
+        for step in [Step::HotRestart, Step::Start, Step::StartAndTerminate] {
             if draws.one_in(2) {
                 plan.steps.push((draws.millis(500, 4000), step));
             }
