--- a/review/standins/common.py
+++ b/review/standins/common.py
@@ -31,8 +31,11 @@
         self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.start = time.monotonic()
         self.lock = threading.Lock()
+        self.temporary = None
 
     def add(self, text):
+        if self.temporary:
+            text = text.replace(self.temporary, "TMP")
         with self.lock:
             self.file.write(f"{time.monotonic() - self.start:8.3f} {text}\n")
             self.file.flush()
@@ -312,7 +315,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.add("with the disruption" if trouble else "without the disruption")
-    temporary = tempfile.mkdtemp(prefix="sailmux-review-")
+    temporary = record.temporary = tempfile.mkdtemp(prefix="sailmux-review-")
 
     def stop(*_):
         raise CannotRun("stopped from outside, or out of time")
