--- a/review/standins/http2.py
+++ b/review/standins/http2.py
@@ -102,7 +102,8 @@
             elif kind == GOAWAY:
                 self.going_away = True
             elif stream not in data or stream in ends:
-                continue
+                if kind == DATA and payload:
+                    self.write(frame(WINDOW_UPDATE, 0, 0, struct.pack(">I", len(payload))))
             elif kind == DATA:
                 data[stream] += payload
                 if payload:
