Count gateways' connections, and log when all are in use

Change: counters sailmux_gateways_opened and sailmux_gateways_closed, from events of the Flight server, and the warning 'all gateway connections are in use; further gateways wait'. Behaviour is unchanged.

--- a/src/aggregator/counters.rs
+++ b/src/aggregator/counters.rs
@@ -30,6 +30,8 @@
     clients_opened as "clients_opened": "Client connections opened.",
     clients_closed as "clients_closed": "Client connections ended.",
     idle_clients_closed as "clients_shed": "Idle client connections closed to free capacity for others.",
+    gateways_opened as "gateways_opened": "Flight connections of gateways opened.",
+    gateways_closed as "gateways_closed": "Flight connections of gateways ended.",
     queries_received as "queries_taken": "Valid queries received.",
     parts_received as "parts_taken": "Parts of those queries.",
     queries_malformed as "queries_malformed": "Requests that no query could be read from.",
--- a/src/aggregator/event.rs
+++ b/src/aggregator/event.rs
@@ -1,7 +1,8 @@
 //! Inputs of the aggregator. The event loop of `net` builds them from sockets, files, signals and timers.
 
 use super::{
-    AdminCallId, AdminCommand, AttemptId, ClientId, ConnectionId, Limits, NewQuery, PartOutcome, Siblings,
+    AdminCallId, AdminCommand, AttemptId, ClientId, ConnectionId, GatewayId, Limits, NewQuery, PartOutcome,
+    Siblings,
 };
 use crate::balancer::LoadReport;
 use crate::clock::Millis;
@@ -18,6 +19,10 @@
     ClientOpened(ClientId),
     /// A client's connection has ended, whichever side closed it.
     ClientClosed(ClientId),
+    /// A gateway's Flight connection has been accepted.
+    GatewayOpened(GatewayId),
+    /// A gateway's Flight connection has ended, whichever side closed it.
+    GatewayClosed(GatewayId),
     /// A client's query has been received completely.
     QueryReceived(ClientId, NewQuery),
     /// A request could not be parsed as a query; the listener has answered it with a 4xx status. `None` for a Flight call,
--- a/src/aggregator/reduce.rs
+++ b/src/aggregator/reduce.rs
@@ -36,6 +36,8 @@
         match event {
             Event::ClientOpened(client) => self.client_opened(client),
             Event::ClientClosed(client) => self.client_closed(client),
+            Event::GatewayOpened(gateway) => self.gateway_opened(gateway),
+            Event::GatewayClosed(gateway) => self.gateway_closed(gateway),
             Event::QueryReceived(client, query) => self.query_received(client, query),
             Event::RequestMalformed(client) => self.request_malformed(client),
             Event::HealthRequested(client) => self.health_requested(client),
--- a/src/net/flight/server.rs
+++ b/src/net/flight/server.rs
@@ -4,7 +4,7 @@
 use super::answer::{self, FlightStream};
 use super::observed_socket::{ObservedSocket, WriteObserver};
 use super::ticket::{self, MAX_TICKET_BYTES, QueryTicket};
-use crate::aggregator::{ClientId, Event, Limits, NewQuery};
+use crate::aggregator::{ClientId, Event, GatewayId, Limits, NewQuery};
 use crate::net::listener::ACCEPT_RETRY_DELAY;
 use crate::net::messages::{AggregatorStopped, CLIENT_QUEUE_LENGTH, ClientMessage, EventSender};
 use arrow_flight::flight_service_server::{FlightService, FlightServiceServer};
@@ -35,7 +35,7 @@
 /// Maximum size of a gRPC message, with room for the encoding around a ticket.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_TICKET_BYTES;
 
-type GatewaySocket = ObservedSocket<OwnedSemaphorePermit>;
+type GatewaySocket = ObservedSocket<OpenGateway>;
 
 /// Serves gateways until the sender of `stopped` is dropped.
 pub(crate) async fn serve(
@@ -45,7 +45,7 @@
     stopped: oneshot::Receiver<()>,
 ) {
     let connections = (limits.client_connections / CLIENTS_PER_GATEWAY).clamp(1, MAX_GATEWAY_CONNECTIONS);
-    let incoming = accept_gateways(listener, connections);
+    let incoming = accept_gateways(listener, connections, events.clone());
     let service =
         FlightServiceServer::new(QueryService { events, next_client_id: AtomicU64::new(FIRST_CLIENT_ID) })
             .max_decoding_message_size(MAX_MESSAGE_BYTES);
@@ -61,26 +61,63 @@
 fn accept_gateways(
     listener: TcpListener,
     connections: usize,
+    events: EventSender,
 ) -> impl Stream<Item = io::Result<GatewaySocket>> {
-    let permits = Arc::new(Semaphore::new(connections));
-    stream::unfold((listener, permits), |(listener, permits)| async {
-        let permit = permits.clone().acquire_owned().await.ok()?;
-        let accepted = match listener.accept().await {
+    let acceptor = Acceptor { listener, permits: Arc::new(Semaphore::new(connections)), events, accepted: 0 };
+    stream::unfold(acceptor, |mut acceptor| async {
+        let accepted = acceptor.accept().await?;
+        Some((accepted, acceptor))
+    })
+}
+
+struct Acceptor {
+    listener: TcpListener,
+    permits: Arc<Semaphore>,
+    events: EventSender,
+    /// Number of gateways accepted so far.
+    accepted: u64,
+}
+
+impl Acceptor {
+    /// Accepts a gateway once there is a permit; `None` if the aggregator has stopped.
+    async fn accept(&mut self) -> Option<io::Result<GatewaySocket>> {
+        if self.permits.available_permits() == 0 {
+            warn!(open = self.accepted, "all gateway connections are in use; further gateways wait");
+        }
+        let permit = self.permits.clone().acquire_owned().await.ok()?;
+        match self.listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                Ok(ObservedSocket { stream, observer: permit })
+                let gateway = GatewayId(self.accepted);
+                self.accepted += 1;
+                self.events.send(Event::GatewayOpened(gateway)).await.ok()?;
+                let observer = OpenGateway { gateway, events: self.events.clone(), _permit: permit };
+                Some(Ok(ObservedSocket { stream, observer }))
             }
             Err(error) => {
                 sleep(ACCEPT_RETRY_DELAY).await;
-                Err(error)
+                Some(Err(error))
             }
-        };
-        Some((accepted, (listener, permits)))
-    })
+        }
+    }
+}
+
+/// Holds a permit for as long as the socket is open, and reports its end; it does not observe writes.
+struct OpenGateway {
+    gateway: GatewayId,
+    events: EventSender,
+    _permit: OwnedSemaphorePermit,
 }
 
-/// The permit is only held for as long as the socket is open; it does not observe writes.
-impl WriteObserver for OwnedSemaphorePermit {}
+impl WriteObserver for OpenGateway {}
+
+impl Drop for OpenGateway {
+    fn drop(&mut self) {
+        let gateway = self.gateway;
+        let events = self.events.clone();
+        tokio::spawn(async move { events.send(Event::GatewayClosed(gateway)).await });
+    }
+}
 
 struct QueryService {
     events: EventSender,
--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -305,7 +305,8 @@
 const PUBLISHED_REJECTION_REASONS: &str = "no_parts in_flight_limit low_chance unreliable_chance too_late \
     deadline_reached parts_lost crashes_replicas part_too_late retry_budget";
 const PUBLISHED_METRICS: &str = "
-    clients_opened clients_closed clients_shed queries_taken parts_taken queries_malformed
+    clients_opened clients_closed clients_shed gateways_opened gateways_closed queries_taken parts_taken
+    queries_malformed
     answers_whole answers_partial queries_refused queries_failed queries_expired clients_gone
     attempts_sent attempts_cold attempts_good attempts_bad attempts_rejected attempts_timed_out
     attempts_not_connected attempts_reset attempts_cancelled attempts_not_sent answers_ignored
