Serve later gateways although earlier ones keep their Flight connections

Cause: nothing closed a gateway's connection but the gateway: the limits on idle connections and the drain know the calls, not the connections that carry them. And at most 16 gateways were accepted, the rest waited in the listen queue.

Change: the reducer knows gateways' connections (aggregator::gateways) and decides on them as on HTTP connections: one limit for both, one order of closing idle ones, the same drain. net::client_listener accepts both protocols with permits of one pool; each gateway connection has its own task, which closes it with GOAWAY so that crossing queries are answered. The limits on half-sent requests and unread answers are those of HTTP. A connection that is being closed counts while a request is in progress on it. Replaces the private accept loops of HTTP and Flight.

Why it works: a connection without a call can always be closed for a later one, and those with calls end by their deadlines.

--- a/src/aggregator/clients.rs
+++ b/src/aggregator/clients.rs
@@ -1,8 +1,8 @@
 //! Client connections: limits on idle ones, and replies to requests.
 
-use super::records::Client;
+use super::records::{Client, ConnectionUsage};
 use super::reduce::Reduction;
-use super::{ClientId, Effect, Reply};
+use super::{ClientId, Effect, GatewayId, Reply};
 use crate::balancer;
 use crate::clock::Millis;
 use crate::ledger;
@@ -10,7 +10,7 @@
 /// Time after connecting within which a client is expected to send its first request.
 const FIRST_REQUEST_WINDOW: Millis = 2000.0;
 
-/// The order in which idle clients are closed when there are too many.
+/// The order in which idle connections are closed when there are too many.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum CloseOrder {
     /// Has sent no request within [`FIRST_REQUEST_WINDOW`].
@@ -21,7 +21,14 @@
     AwaitingFirstRequest,
 }
 
-impl Client {
+/// A client's connection in either protocol.
+#[derive(Clone, Copy)]
+pub(super) enum ClientConnection {
+    Http(ClientId),
+    Gateway(GatewayId),
+}
+
+impl ConnectionUsage {
     fn close_order(&self, now: Millis) -> CloseOrder {
         if self.answered {
             CloseOrder::Answered
@@ -31,56 +38,90 @@
             CloseOrder::AwaitingFirstRequest
         }
     }
+}
+
+impl Client {
+    /// Whether this is an HTTP connection rather than a call on a gateway's connection.
+    pub(super) fn is_connection(&self) -> bool {
+        self.gateway.is_none()
+    }
 
-    fn is_idle(&self) -> bool {
-        self.query.is_none() && !self.closing
+    fn is_idle_connection(&self) -> bool {
+        self.is_connection() && self.query.is_none()
     }
 }
 
 impl Reduction<'_> {
     pub(super) fn client_opened(&mut self, client: ClientId) {
+        self.add_client(client, None);
+        self.enforce_client_limit();
+    }
+
+    pub(super) fn add_client(&mut self, client: ClientId, gateway: Option<GatewayId>) {
         self.state.counters.clients_opened += 1;
-        let record = Client { query: None, idle_since: self.now, answered: false, closing: false };
+        let record = Client { query: None, gateway, usage: ConnectionUsage::new(self.now) };
         self.state.clients.insert(client, record);
-        self.enforce_client_limit();
     }
 
-    /// Closes an idle client if too many clients are connected. Clients keep idle connections open, which would exhaust
-    /// the file descriptors.
-    fn enforce_client_limit(&mut self) {
-        let open = self.state.clients.values().filter(|client| !client.closing).count();
-        if open <= self.state.limits.client_connections {
+    /// Number of connections, without the idle ones that are being closed. One that is being closed may have a request in
+    /// progress, and occupies its slot until the answer.
+    pub(super) fn open_connections(&self) -> usize {
+        let clients = self.state.clients.values().filter(|client| client.is_connection());
+        let clients = clients.filter(|client| client.query.is_some() || !client.usage.closing);
+        let gateways = self.state.gateways.values();
+        let gateways = gateways.filter(|gateway| !gateway.is_idle() || !gateway.usage.closing);
+        clients.count() + gateways.count()
+    }
+
+    /// The connections without a request in progress that are not being closed.
+    fn idle_connections(&self) -> impl Iterator<Item = (ClientConnection, &ConnectionUsage)> {
+        let clients = self.state.clients.iter().filter(|(_, client)| client.is_idle_connection());
+        let clients = clients.map(|(id, client)| (ClientConnection::Http(*id), &client.usage));
+        let gateways = self.state.gateways.iter().filter(|(_, gateway)| gateway.is_idle());
+        let gateways = gateways.map(|(id, gateway)| (ClientConnection::Gateway(*id), &gateway.usage));
+        clients.chain(gateways).filter(|(_, usage)| !usage.closing)
+    }
+
+    /// Closes an idle connection if too many are open. Clients and gateways keep idle connections open, which would
+    /// exhaust the file descriptors.
+    pub(super) fn enforce_client_limit(&mut self) {
+        if self.open_connections() <= self.state.limits.client_connections {
             return;
         }
         let now = self.now;
-        let idle = self.state.clients.iter().filter(|(_, client)| client.is_idle());
-        let first_to_close = idle.min_by(|(_, a), (_, b)| {
+        let first_to_close = self.idle_connections().min_by(|(_, a), (_, b)| {
             a.close_order(now).cmp(&b.close_order(now)).then(a.idle_since.total_cmp(&b.idle_since))
         });
-        if let Some(client) = first_to_close.map(|(id, _)| *id) {
-            self.close_idle_client(client);
+        if let Some(connection) = first_to_close.map(|(connection, _)| connection) {
+            self.close_idle_connection(connection);
         }
     }
 
-    /// Closes the longest idle client if too many are idle. Otherwise clients that send a single request and keep the
+    /// Closes the longest idle connection if too many are idle. Otherwise clients that send a single request and keep the
     /// connection would exhaust the capacity for new clients.
-    fn enforce_idle_client_limit(&mut self) {
-        let is_idle = |client: &Client| client.answered && client.is_idle();
-        let idle_count = self.state.clients.values().filter(|client| is_idle(client)).count();
+    pub(super) fn enforce_idle_client_limit(&mut self) {
+        let idle_count = self.idle_connections().filter(|(_, usage)| usage.answered).count();
         if idle_count <= self.state.limits.idle_client_connections {
             return;
         }
-        let idle = self.state.clients.iter().filter(|(_, client)| is_idle(client));
+        let idle = self.idle_connections().filter(|(_, usage)| usage.answered);
         let longest_idle = idle.min_by(|(_, a), (_, b)| a.idle_since.total_cmp(&b.idle_since));
-        if let Some(client) = longest_idle.map(|(id, _)| *id) {
-            self.close_idle_client(client);
+        if let Some(connection) = longest_idle.map(|(connection, _)| connection) {
+            self.close_idle_connection(connection);
         }
     }
 
-    fn close_idle_client(&mut self, client: ClientId) {
+    pub(super) fn close_idle_connection(&mut self, connection: ClientConnection) {
+        self.state.counters.idle_clients_closed += 1;
+        match connection {
+            ClientConnection::Http(client) => self.close_client(client),
+            ClientConnection::Gateway(gateway) => self.close_gateway(gateway),
+        }
+    }
+
+    fn close_client(&mut self, client: ClientId) {
         if let Some(record) = self.state.clients.get_mut(&client) {
-            record.closing = true;
-            self.state.counters.idle_clients_closed += 1;
+            record.usage.closing = true;
             self.effects.push(Effect::CloseClient(client));
         }
     }
@@ -88,6 +129,9 @@
     pub(super) fn client_closed(&mut self, client: ClientId) {
         let Some(client) = self.state.clients.remove(&client) else { return };
         self.state.counters.clients_closed += 1;
+        if let Some(gateway) = client.gateway {
+            self.call_closed(gateway);
+        }
         if let Some(query) = client.query {
             self.count_outcome(ledger::Outcome::ClientDisconnected);
             self.record_in_ledger(query, ledger::Outcome::ClientDisconnected);
@@ -99,15 +143,18 @@
     pub(super) fn request_malformed(&mut self, client: Option<ClientId>) {
         self.state.counters.queries_malformed += 1;
         if let Some(client) = client.and_then(|client| self.state.clients.get_mut(&client)) {
-            client.idle_since = self.now;
+            client.usage.idle_since = self.now;
         }
     }
 
     pub(super) fn reply(&mut self, client: ClientId, reply: Reply) {
         let Some(record) = self.state.clients.get_mut(&client) else { return };
         record.query = None;
-        record.idle_since = self.now;
-        record.answered = true;
+        record.usage.idle_since = self.now;
+        record.usage.answered = true;
+        if let Some(gateway) = record.gateway {
+            self.call_answered(gateway);
+        }
         let close = self.closes_after_reply();
         self.effects.push(Effect::Reply { client, reply, close });
         self.enforce_idle_client_limit();
--- a/src/aggregator/effect.rs
+++ b/src/aggregator/effect.rs
@@ -1,6 +1,6 @@
 //! Outputs of the aggregator. The event loop of `net` executes them.
 
-use super::{AdminCallId, AdminOutcome, AttemptId, ClientId, ConnectionId, Lifecycle, Reply};
+use super::{AdminCallId, AdminOutcome, AttemptId, ClientId, ConnectionId, GatewayId, Lifecycle, Reply};
 use crate::balancer::{self, ReplicaId};
 use crate::clock::Millis;
 use crate::endpoints::AuditEvent;
@@ -22,6 +22,9 @@
     },
     /// Close a client's connection as soon as no request is in flight on it.
     CloseClient(ClientId),
+    /// Close a gateway's connection as soon as no call is in flight on it, and accept no more calls;
+    /// [`Event::GatewayClosed`](super::Event::GatewayClosed) confirms it.
+    CloseGateway(GatewayId),
     /// Open a connection to the leaf server at an address.
     Connect(ConnectionId, Arc<str>),
     /// Write a call with one or more parts. Counts as a message of [`Event::Written`](super::Event::Written).
@@ -33,8 +36,8 @@
     /// Close a connection to a leaf server immediately;
     /// [`Event::ConnectionEnded`](super::Event::ConnectionEnded) confirms it.
     CloseConnection(ConnectionId),
-    /// Accept the clients in the listener's backlog, then close the listener;
-    /// [`Event::ListenerClosed`](super::Event::ListenerClosed) confirms it.
+    /// Accept the clients in the listeners' backlogs, then close the listeners;
+    /// [`Event::ListenerClosed`](super::Event::ListenerClosed) confirms each.
     StopAccepting,
     /// Set the maximum number of open client connections.
     SetClientCapacity(usize),
--- a/src/aggregator/event.rs
+++ b/src/aggregator/event.rs
@@ -23,6 +23,13 @@
     GatewayOpened(GatewayId),
     /// A gateway's Flight connection has ended, whichever side closed it.
     GatewayClosed(GatewayId),
+    /// A gateway has begun a call, which is a client of its own until [`Event::ClientClosed`].
+    CallOpened {
+        /// The call.
+        call: ClientId,
+        /// The connection that carries it.
+        gateway: GatewayId,
+    },
     /// A client's query has been received completely.
     QueryReceived(ClientId, NewQuery),
     /// A request could not be parsed as a query; the listener has answered it with a 4xx status. `None` for a Flight call,
@@ -102,7 +109,7 @@
     OverridesLoaded(Overrides, u32),
     /// Sibling processes of this aggregator have started, become ready or exited.
     SiblingsChanged(Siblings),
-    /// The listener is closed, and an event has been delivered for every client that it accepted.
+    /// A listener is closed, and an event has been delivered for every client that it accepted.
     ListenerClosed,
     /// The time returned by [`State::next_timer`](super::State::next_timer) has been reached.
     TimerFired,
--- a/src/aggregator/lifecycle.rs
+++ b/src/aggregator/lifecycle.rs
@@ -1,10 +1,10 @@
 //! The lifecycle of the process: startup, readiness, draining, hot restart and graceful shutdown.
 //! See `docs/design/operations.md` for the state diagram.
 
-use super::records::Client;
+use super::records::{Client, ConnectionUsage, Gateway};
 use super::reduce::Reduction;
 use super::timer::Timer;
-use super::{Effect, LogEvent};
+use super::{Effect, GatewayId, LogEvent};
 use crate::clock::Millis;
 use crate::hot_restart::OverrideSubject;
 
@@ -215,13 +215,26 @@
             self.state.set_timer(drain.close_idle_from, Timer::DrainClients);
             return;
         }
-        let is_idle =
-            |client: &Client| client.query.is_none() && client.idle_since + CLIENT_IDLE_TIMEOUT <= self.now;
-        let idle = self.state.clients.iter().filter(|(_, client)| is_idle(client));
+        let is_idle = |usage: &ConnectionUsage| usage.idle_since + CLIENT_IDLE_TIMEOUT <= self.now;
+        let closes =
+            |client: &Client| client.is_connection() && client.query.is_none() && is_idle(&client.usage);
+        let idle = self.state.clients.iter().filter(|(_, client)| closes(client));
         self.effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
+        // The close lets the calls in flight end. A new connection may have a call in transit.
+        let closes = |gateway: &Gateway| !gateway.is_idle() || is_idle(&gateway.usage);
+        let open = self.state.gateways.iter().filter(|(_, gateway)| !gateway.usage.closing);
+        let closing: Vec<GatewayId> =
+            open.filter(|(_, gateway)| closes(gateway)).map(|(id, _)| *id).collect();
+        for gateway in closing {
+            self.close_gateway(gateway);
+        }
         self.state.set_timer(self.now + CLIENT_IDLE_TIMEOUT, Timer::DrainClients);
     }
 
+    pub(super) fn listener_closed(&mut self) {
+        self.state.open_listeners = self.state.open_listeners.saturating_sub(1);
+    }
+
     fn stop_accepting_if_due(&mut self) {
         let Some(stops_at) = self.state.lifecycle.stops_accepting_at() else { return };
         if self.state.accepting_clients && self.now >= stops_at {
@@ -230,11 +243,12 @@
         }
     }
 
-    /// Exits the process once its shutdown is complete: no clients are left, and no new ones can connect.
+    /// Exits the process once its shutdown is complete: no connection of a client or gateway is left, so that each answer
+    /// has been written, and no new ones can be opened.
     pub(super) fn check_exit(&mut self) {
         let state = &mut *self.state;
         let is_complete =
-            state.lifecycle.is_shutting_down() && state.listener_closed && state.clients.is_empty();
+            state.lifecycle.is_shutting_down() && state.open_listeners == 0 && state.clients.is_empty();
         if is_complete && !state.exited {
             state.exited = true;
             self.effects.push(Effect::Exit);
--- a/src/aggregator/limits.rs
+++ b/src/aggregator/limits.rs
@@ -1,6 +1,6 @@
 //! Limits on the number of open connections.
 
-/// File descriptors reserved for listeners, Flight gateways, discovery and files.
+/// File descriptors reserved for listeners, discovery and files.
 const RESERVED_DESCRIPTORS: usize = 32;
 
 /// Limits on open connections.
@@ -41,8 +41,9 @@
         }
     }
 
-    /// Maximum number of client connections open at once, including those that are being closed.
+    /// Maximum number of client connections open at once, including those that are being closed. Above
+    /// `client_connections`, so that a further connection is accepted and an idle one closed for it.
     pub fn max_client_connections(self) -> usize {
-        self.client_connections + self.client_connections / 9
+        self.client_connections + (self.client_connections / 9).max(1)
     }
 }
--- a/src/aggregator/records.rs
+++ b/src/aggregator/records.rs
@@ -1,6 +1,6 @@
-//! Records of clients, queries, parts, attempts and leaf servers.
+//! Records of clients, gateways, queries, parts, attempts and leaf servers.
 
-use super::{AttemptId, ClientId, ConnectionId};
+use super::{AttemptId, ClientId, ConnectionId, GatewayId};
 use crate::balancer::{PartId, QueryId, ReplicaId};
 use crate::clock::Millis;
 use crate::ledger::QuotaShare;
@@ -8,18 +8,40 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// A client's connection.
+/// A client: an HTTP connection, or a call on a gateway's connection.
 pub(super) struct Client {
     /// The query in flight, if any.
     pub query: Option<QueryId>,
-    /// When the client became idle: it connected, or its last request ended.
+    /// The gateway's connection that carries the call; `None` for an HTTP connection.
+    pub gateway: Option<GatewayId>,
+    /// The use of the HTTP connection; without meaning for a call.
+    pub usage: ConnectionUsage,
+}
+
+/// A gateway's Flight connection.
+pub(super) struct Gateway {
+    /// Number of calls in flight.
+    pub calls: usize,
+    pub usage: ConnectionUsage,
+}
+
+/// How a client's connection has been used so far.
+pub(super) struct ConnectionUsage {
+    /// When the connection became idle: it was opened, or its last request ended.
     pub idle_since: Millis,
-    /// Whether it has been answered at least once.
+    /// Whether it has carried at least one answer.
     pub answered: bool,
-    /// Whether it is being closed to free capacity for other clients.
+    /// Whether it is being closed.
     pub closing: bool,
 }
 
+impl ConnectionUsage {
+    /// The use of a connection that is opened at `now`.
+    pub fn new(now: Millis) -> Self {
+        ConnectionUsage { idle_since: now, answered: false, closing: false }
+    }
+}
+
 /// A query in flight.
 pub(super) struct Query {
     pub client: ClientId,
--- a/src/aggregator/reduce.rs
+++ b/src/aggregator/reduce.rs
@@ -38,6 +38,7 @@
             Event::ClientClosed(client) => self.client_closed(client),
             Event::GatewayOpened(gateway) => self.gateway_opened(gateway),
             Event::GatewayClosed(gateway) => self.gateway_closed(gateway),
+            Event::CallOpened { call, gateway } => self.call_opened(call, gateway),
             Event::QueryReceived(client, query) => self.query_received(client, query),
             Event::RequestMalformed(client) => self.request_malformed(client),
             Event::HealthRequested(client) => self.health_requested(client),
@@ -67,7 +68,7 @@
             Event::AdminCommand(call, command) => self.run_admin_command(call, command),
             Event::OverridesLoaded(overrides, digest) => self.overrides_loaded(&overrides, digest),
             Event::SiblingsChanged(siblings) => self.siblings_changed(siblings),
-            Event::ListenerClosed => self.state.listener_closed = true,
+            Event::ListenerClosed => self.listener_closed(),
             Event::TimerFired => self.fire_due_timers(),
             Event::ShutdownRequested => self.begin_shutdown(),
         }
--- a/src/aggregator/siblings.rs
+++ b/src/aggregator/siblings.rs
@@ -24,5 +24,6 @@
         self.state.limits = self.state.undivided_limits.divided_among(processes);
         let capacity = self.state.limits.max_client_connections();
         self.effects.push(Effect::SetClientCapacity(capacity));
+        self.close_excess_gateways();
     }
 }
--- a/src/aggregator/state.rs
+++ b/src/aggregator/state.rs
@@ -2,10 +2,10 @@
 
 use super::leaf_connection::LeafConnection;
 use super::ledger_entries::Billing;
-use super::records::{Attempt, Client, LeafServer, Part, Query};
+use super::records::{Attempt, Client, Gateway, LeafServer, Part, Query};
 use super::rejections::RejectionCounters;
 use super::timer::{Timer, TimerQueue};
-use super::{AttemptId, ClientId, ConnectionId, Counters, Lifecycle, Limits, Siblings};
+use super::{AttemptId, ClientId, ConnectionId, Counters, GatewayId, Lifecycle, Limits, Siblings};
 use crate::balancer::{Balancer, PartId, QueryId, ReplicaId, SettingsError};
 use crate::clock::Millis;
 use crate::config::PlatformSettings;
@@ -23,6 +23,7 @@
     pub(super) rejections: RejectionCounters,
 
     pub(super) clients: BTreeMap<ClientId, Client>,
+    pub(super) gateways: BTreeMap<GatewayId, Gateway>,
     pub(super) queries: BTreeMap<QueryId, Query>,
     /// Request ids of the queries in flight; leaf servers identify parts by request id and shard.
     pub(super) request_ids: BTreeSet<Arc<str>>,
@@ -51,8 +52,9 @@
     pub(super) limits: Limits,
     /// `false` once [`Effect::StopAccepting`](super::Effect::StopAccepting) has been emitted.
     pub(super) accepting_clients: bool,
-    /// The listener is closed, and every client that it accepted is in `clients` or has disconnected.
-    pub(super) listener_closed: bool,
+    /// Number of listeners that are not closed yet. Every connection that a closed one has accepted is in `clients` or
+    /// `gateways`, or has ended.
+    pub(super) open_listeners: usize,
     /// [`Effect::Exit`](super::Effect::Exit) has been emitted.
     pub(super) exited: bool,
     /// `None` if no ledger is kept.
@@ -77,6 +79,7 @@
             counters: Counters::default(),
             rejections: RejectionCounters::default(),
             clients: BTreeMap::new(),
+            gateways: BTreeMap::new(),
             queries: BTreeMap::new(),
             request_ids: BTreeSet::new(),
             parts: BTreeMap::new(),
@@ -94,12 +97,17 @@
             undivided_limits: limits,
             limits,
             accepting_clients: true,
-            listener_closed: false,
+            open_listeners: 1,
             exited: false,
             billing: None,
         })
     }
 
+    /// Adds a listener to the one for HTTP clients. At shutdown each of them has to be closed before the process exits.
+    pub fn add_listener(&mut self) {
+        self.open_listeners += 1;
+    }
+
     /// Starts recording each final answer in a ledger, billed at the given prices.
     pub fn enable_ledger(&mut self, prices: PriceList) {
         self.billing = Some(Billing::new(prices));
--- a/src/net/effects.rs
+++ b/src/net/effects.rs
@@ -1,13 +1,15 @@
 //! Carries out the aggregator's effects: sends replies to clients, messages to leaf connections and overrides to the
 //! store. It never blocks and takes no decisions.
 
+use super::client_listener::ClientCapacity;
 use super::flight;
 use super::hot_restart::HotRestartHandle;
-use super::http::ClientCapacity;
 use super::leaf_connection;
 use super::ledger_writer::{LedgerWriter, PendingReply};
 use super::messages::{ClientMessage, EventSender, LEAF_QUEUE_LENGTH, LeafMessage};
-use crate::aggregator::{AdminCallId, AdminOutcome, ClientId, ConnectionId, Effect, Lifecycle, Siblings};
+use crate::aggregator::{
+    AdminCallId, AdminOutcome, ClientId, ConnectionId, Effect, GatewayId, Lifecycle, Siblings,
+};
 use crate::clock::Millis;
 use crate::hot_restart::Overrides;
 use crate::ledger::{Entry, LedgerEvent};
@@ -22,11 +24,11 @@
 pub(super) struct EffectDispatcher {
     events: EventSender,
     clients: HashMap<ClientId, mpsc::Sender<ClientMessage>>,
+    /// Dropped to close a gateway's connection gracefully.
+    gateways: HashMap<GatewayId, oneshot::Sender<()>>,
     leaf_connections: HashMap<ConnectionId, mpsc::Sender<LeafMessage>>,
-    /// Dropped to stop accepting clients.
-    stop_accepting: Option<oneshot::Sender<()>>,
-    /// Dropped to stop the Flight server, if there is one.
-    stop_flight: Option<oneshot::Sender<()>>,
+    /// Dropped to stop accepting clients, one for each listener.
+    stop_accepting: Vec<oneshot::Sender<()>>,
     client_capacity: ClientCapacity,
     /// Admin calls that have not been answered yet.
     admin_calls: HashMap<AdminCallId, oneshot::Sender<AdminOutcome>>,
@@ -40,7 +42,6 @@
 /// The channels and handles through which an [`EffectDispatcher`] carries out effects.
 pub(super) struct EffectTargets {
     pub events: EventSender,
-    pub stop_accepting: oneshot::Sender<()>,
     pub client_capacity: ClientCapacity,
     pub hot_restart: Option<HotRestartHandle>,
     pub ledger: Option<LedgerWriter>,
@@ -52,9 +53,9 @@
         EffectDispatcher {
             events: targets.events,
             clients: HashMap::new(),
+            gateways: HashMap::new(),
             leaf_connections: HashMap::new(),
-            stop_accepting: Some(targets.stop_accepting),
-            stop_flight: None,
+            stop_accepting: Vec::new(),
             client_capacity: targets.client_capacity,
             admin_calls: HashMap::new(),
             next_admin_call: 0,
@@ -77,6 +78,7 @@
             Effect::Reply { client, reply, close } => self.reply(PendingReply { client, reply, close }),
             Effect::LedgerEntry(client, entry) => self.record_entry(client, entry),
             Effect::CloseClient(client) => self.close_client(client),
+            Effect::CloseGateway(gateway) => self.close_gateway(gateway),
             Effect::Connect(connection, address) => self.connect(connection, address),
             Effect::SendCall(connection, parts) => self.send_to_leaf(connection, LeafMessage::Call(parts)),
             Effect::SendCancellation(connection, attempt) => {
@@ -84,7 +86,7 @@
             }
             Effect::SendHealthCheck(connection) => self.send_to_leaf(connection, LeafMessage::HealthCheck),
             Effect::CloseConnection(connection) => self.remove_leaf_connection(connection),
-            Effect::StopAccepting => self.stop_accepting(),
+            Effect::StopAccepting => self.stop_accepting.clear(),
             Effect::SetClientCapacity(connections) => self.client_capacity.resize(connections),
             Effect::AnswerAdmin(call, outcome) => self.answer_admin(call, outcome),
             Effect::StoreOverrides(call, overrides) => self.store_overrides(call, overrides),
@@ -107,6 +109,16 @@
         self.clients.remove(&client);
     }
 
+    /// Registers a gateway's connection, which is closed gracefully once `close` is dropped.
+    pub fn add_gateway(&mut self, gateway: GatewayId, close: oneshot::Sender<()>) {
+        self.gateways.insert(gateway, close);
+    }
+
+    /// Closes a gateway's connection gracefully, or forgets one that has ended.
+    pub fn close_gateway(&mut self, gateway: GatewayId) {
+        self.gateways.remove(&gateway);
+    }
+
     /// Drops a connection's message queue, upon which its task closes the connection and reports the end.
     pub fn remove_leaf_connection(&mut self, connection: ConnectionId) {
         self.leaf_connections.remove(&connection);
@@ -120,9 +132,9 @@
         call
     }
 
-    /// Sets the sender that is dropped to stop the Flight server, together with the clients' listener.
-    pub fn set_flight_stop(&mut self, stop: oneshot::Sender<()>) {
-        self.stop_flight = Some(stop);
+    /// Registers a listener, which stops accepting clients once `stop` is dropped.
+    pub fn add_listener(&mut self, stop: oneshot::Sender<()>) {
+        self.stop_accepting.push(stop);
     }
 
     /// Reads the current state of the sibling processes; `None` if this process shares no directory with siblings.
@@ -210,11 +222,6 @@
         }
     }
 
-    fn stop_accepting(&mut self) {
-        self.stop_accepting = None;
-        self.stop_flight = None;
-    }
-
     fn answer_admin(&mut self, call: AdminCallId, outcome: AdminOutcome) {
         if let Some(reply) = self.admin_calls.remove(&call) {
             let _ = reply.send(outcome);
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -159,9 +159,16 @@
                 self.effects.handle_ledger_event(&event, self.clock.now());
                 Event::Ledger(event)
             }
-            LoopInput::ClientOpened { client, messages } => {
+            LoopInput::ClientOpened { client, gateway, messages } => {
                 self.effects.add_client(client, messages);
-                Event::ClientOpened(client)
+                match gateway {
+                    Some(gateway) => Event::CallOpened { call: client, gateway },
+                    None => Event::ClientOpened(client),
+                }
+            }
+            LoopInput::GatewayOpened { gateway, close } => {
+                self.effects.add_gateway(gateway, close);
+                Event::GatewayOpened(gateway)
             }
         }
     }
@@ -195,10 +202,11 @@
         Event::SettingsReloaded(Box::new(config.settings), limits)
     }
 
-    /// Drops the message queue of a client or leaf connection that has ended.
+    /// Drops the channel to a client, gateway or leaf connection that has ended.
     fn remove_ended(&mut self, event: &Event) {
         match event {
             Event::ClientClosed(client) => self.effects.remove_client(*client),
+            Event::GatewayClosed(gateway) => self.effects.close_gateway(*gateway),
             Event::ConnectionEnded { connection, .. } => self.effects.remove_leaf_connection(*connection),
             _ => {}
         }
--- /dev/null
+++ b/src/net/flight/gateway.rs
@@ -0,0 +1,94 @@
+//! One gateway connection: serves its calls over HTTP/2 until either side closes it. A close asked for by the aggregator
+//! is graceful: the gateway is told to send no more calls, and those in flight are answered first.
+
+use super::call_streams::{CallStreams, REQUEST_TIMEOUT, TimedBody};
+use super::server::{MAX_MESSAGE_BYTES, QueryService};
+use crate::aggregator::{Event, GatewayId};
+use crate::net::client_listener::SessionStarter;
+use crate::net::messages::EventSender;
+use arrow_flight::flight_service_server::FlightServiceServer;
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tower_service::Service;
+use tracing::debug;
+
+/// First client ID of Flight calls; the HTTP server uses the IDs below.
+const FIRST_CALL_ID: u64 = 1 << 63;
+/// Maximum number of calls in flight on one connection.
+const MAX_CALLS_PER_CONNECTION: u32 = 256;
+/// Time within which a gateway without calls acknowledges that its connection is being closed; then it is dropped.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the last call within which a gateway must have read the rest of its answer while its connection is being
+/// closed.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Numbers the gateways and their calls, and starts a task for each connection.
+pub(in crate::net) struct GatewaySessions {
+    next_gateway: u64,
+    next_call: Arc<AtomicU64>,
+    events: EventSender,
+}
+
+impl GatewaySessions {
+    pub fn new(events: EventSender) -> Self {
+        GatewaySessions { next_gateway: 0, next_call: Arc::new(AtomicU64::new(FIRST_CALL_ID)), events }
+    }
+}
+
+impl SessionStarter for GatewaySessions {
+    async fn start_session(&mut self, mut stream: TcpStream, permit: OwnedSemaphorePermit) {
+        let gateway = GatewayId(self.next_gateway);
+        self.next_gateway += 1;
+        let (close, close_requested) = oneshot::channel();
+        if self.events.open_gateway(gateway, close).await.is_err() {
+            return;
+        }
+        let events = self.events.clone();
+        let service = QueryService::new(gateway, self.next_call.clone(), events.clone());
+        tokio::task::spawn_local(async move {
+            let _ = stream.set_nodelay(true);
+            serve(&mut stream, service, close_requested).await;
+            drop(stream);
+            drop(permit);
+            let _ = events.send(Event::GatewayClosed(gateway)).await;
+        });
+    }
+}
+
+/// Serves the connection until the gateway closes it, or until it is closed after the sender of `close_requested` has
+/// been dropped.
+async fn serve(stream: &mut TcpStream, service: QueryService, close_requested: oneshot::Receiver<()>) {
+    let flight = FlightServiceServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let mut flight = flight.clone();
+        flight.call(request.map(|body| TimedBody::new(body, REQUEST_TIMEOUT)))
+    });
+    let streams = CallStreams::default();
+    let mut builder = http2::Builder::new(streams.clone());
+    builder.timer(TokioTimer::new()).max_concurrent_streams(MAX_CALLS_PER_CONNECTION);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        result = connection.as_mut() => return log_end(result),
+        _ = close_requested => connection.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        result = connection => log_end(result),
+        () = streams.all_ended(CLOSE_TIMEOUT, FLUSH_TIMEOUT) => {
+            debug!("gateway has not acknowledged the close of its connection");
+        }
+    }
+}
+
+fn log_end(result: hyper::Result<()>) {
+    if let Err(error) = result {
+        debug!("gateway connection failed: {error}");
+    }
+}
--- a/src/net/flight/mod.rs
+++ b/src/net/flight/mod.rs
@@ -2,11 +2,13 @@
 //! that return the answer to a part as a stream.
 
 mod answer;
+mod call_streams;
+pub(super) mod gateway;
 mod http2_channel;
 mod leaf_call;
 pub(super) mod leaf_client;
 mod observed_socket;
-pub(super) mod server;
+mod server;
 mod ticket;
 mod write_progress;
 
--- a/src/net/flight/observed_socket.rs
+++ b/src/net/flight/observed_socket.rs
@@ -5,26 +5,19 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tonic::transport::server::Connected;
 
 /// Observes a socket's writes.
 pub(super) trait WriteObserver: Unpin {
     /// Called after each write attempt with its result.
-    fn on_write(&self, _result: &Poll<io::Result<usize>>) {}
+    fn on_write(&self, result: &Poll<io::Result<usize>>);
 }
 
-/// A socket and its observer, which is dropped when the socket closes.
+/// A socket and its observer.
 pub(super) struct ObservedSocket<O> {
     pub stream: TcpStream,
     pub observer: O,
 }
 
-impl<O: WriteObserver> Connected for ObservedSocket<O> {
-    type ConnectInfo = ();
-
-    fn connect_info(&self) {}
-}
-
 impl<O: WriteObserver> AsyncRead for ObservedSocket<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -6,4 +6,4 @@
 mod response;
 mod session;
 
-pub(super) use listener::{ClientCapacity, accept_clients};
+pub(super) use listener::HttpSessions;
--- a/src/net/http/session.rs
+++ b/src/net/http/session.rs
@@ -3,12 +3,13 @@
 use super::request::{self, MAX_HEAD_BYTES, Operation, Parsed, ParsedRequest, RequestError};
 use super::response;
 use crate::aggregator::{ClientId, Event, Reply};
+use crate::net::lingering_close::lingering_close;
 use crate::net::messages::{ClientMessage, EventSender};
 use crate::net::read_buffer::ReadBuffer;
 use futures_util::FutureExt;
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
@@ -26,17 +27,6 @@
 const FINAL_READ_TIMEOUT: Duration = Duration::from_millis(2);
 /// Time after which a client that does not read its response is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Maximum duration of a lingering close. After the last response, data that the client still sends is read and
-/// discarded: closing with unread data would reset the connection and could lose the response.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum number of bytes discarded by a lingering close.
-const MAX_LINGER_BYTES: usize = 80 << 20;
-/// Time without data from the client after which a lingering close ends.
-const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Size of the read buffer of a lingering close.
-const LINGER_READ_BYTES: usize = 16 << 10;
-
 /// Maximum number of buffered bytes of pipelined requests while a request is served.
 const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES;
 /// Interval at which a client that has pipelined more is checked for a disconnect: no attempt may start later than
@@ -242,25 +232,12 @@
         timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)).await?
     }
 
-    /// Performs a lingering close, so that the response arrives even if the client is still sending.
+    /// Performs a lingering close, so that the response arrives even if the client is still sending. It ends early if the
+    /// aggregator needs the connection's slot or is shutting down.
     async fn lingering_close(&mut self) -> io::Result<()> {
-        self.stream.shutdown().await?;
         self.input = ReadBuffer::default();
-        let end = Instant::now() + LINGER_TIMEOUT;
-        let mut buffer = vec![0; LINGER_READ_BYTES];
-        let mut discarded_bytes = 0;
-        while discarded_bytes < MAX_LINGER_BYTES {
-            let deadline = end.min(Instant::now() + LINGER_IDLE_TIMEOUT);
-            tokio::select! {
-                read = timeout_at(deadline, self.stream.read(&mut buffer)) => match read {
-                    Ok(Ok(bytes)) if bytes > 0 => discarded_bytes += bytes,
-                    _ => break,
-                },
-                // The aggregator needs the connection's slot or is shutting down.
-                _ = self.messages.recv() => break,
-            }
-        }
-        Ok(())
+        let cancelled = async { drop(self.messages.recv().await) };
+        lingering_close(&mut self.stream, cancelled).await
     }
 }
 
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -1,9 +1,9 @@
 //! Messages between the event loop and the other tasks and threads of this module.
 
-use crate::aggregator::{AttemptId, CallPart, ClientId, Event, Reply};
+use crate::aggregator::{AttemptId, CallPart, ClientId, Event, GatewayId, Reply};
 use crate::ledger::LedgerEvent;
 use std::fmt;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Capacity of the event loop's queue; senders wait while it is full.
 const EVENT_QUEUE_LENGTH: usize = 1024;
@@ -28,13 +28,22 @@
 
 /// An input of the event loop.
 pub(crate) enum LoopInput {
-    /// A client has connected.
+    /// A client has connected, or a gateway has begun a call.
     ClientOpened {
         /// The client's ID, unique among HTTP connections and Flight calls.
         client: ClientId,
+        /// The connection that carries the call; `None` for an HTTP connection.
+        gateway: Option<GatewayId>,
         /// Queue of the client's task.
         messages: mpsc::Sender<ClientMessage>,
     },
+    /// A gateway has connected.
+    GatewayOpened {
+        /// The gateway's connection.
+        gateway: GatewayId,
+        /// Dropped to close the connection gracefully.
+        close: oneshot::Sender<()>,
+    },
     /// An event for the aggregator.
     Event(Event),
     /// An event of the ledger; replies that wait for the ledger depend on it too.
@@ -100,7 +109,32 @@
         client: ClientId,
         messages: mpsc::Sender<ClientMessage>,
     ) -> Result<(), AggregatorStopped> {
-        self.send_input(LoopInput::ClientOpened { client, messages }).await
+        self.send_input(LoopInput::ClientOpened { client, gateway: None, messages }).await
+    }
+
+    /// Registers a call on a gateway's connection; must precede all events of that call.
+    ///
+    /// # Errors
+    /// The event loop has ended.
+    pub async fn open_call(
+        &self,
+        call: ClientId,
+        gateway: GatewayId,
+        messages: mpsc::Sender<ClientMessage>,
+    ) -> Result<(), AggregatorStopped> {
+        self.send_input(LoopInput::ClientOpened { client: call, gateway: Some(gateway), messages }).await
+    }
+
+    /// Registers a gateway's connection, which is closed gracefully once `close` is dropped.
+    ///
+    /// # Errors
+    /// The event loop has ended.
+    pub async fn open_gateway(
+        &self,
+        gateway: GatewayId,
+        close: oneshot::Sender<()>,
+    ) -> Result<(), AggregatorStopped> {
+        self.send_input(LoopInput::GatewayOpened { gateway, close }).await
     }
 
     /// Sends an event of the ledger from the ledger's thread; blocks while the queue is full.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 
 mod admin;
 mod chunked;
+mod client_listener;
 mod discovery_watch;
 mod effects;
 mod event_loop;
@@ -18,6 +19,7 @@
 mod inventory_watch;
 mod leaf_connection;
 mod ledger_writer;
+mod lingering_close;
 mod listener;
 mod messages;
 mod query_body;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,15 +2,17 @@
 //! event loop until the aggregator exits.
 
 use super::admin::{self, ADMIN_QUEUE_LENGTH, AdminRequest};
+use super::client_listener::{ClientCapacity, SessionStarter, accept_clients};
 use super::discovery_watch::{DiscoveryWatchContext, DiscoveryWatchHandle};
 use super::effects::{EffectDispatcher, EffectTargets};
 use super::event_loop::{EventLoop, Signals};
+use super::flight::gateway::GatewaySessions;
 use super::hot_restart::HotRestartHandle;
-use super::http::{self, ClientCapacity};
+use super::http::HttpSessions;
+use super::inventory_watch;
 use super::ledger_writer::LedgerWriter;
 use super::listener::{self, AddressSharing};
 use super::messages::{EventSender, event_queue};
-use super::{flight, inventory_watch};
 use crate::aggregator::{Event, Limits, State};
 use crate::clock::Clock;
 use crate::config::Config;
@@ -24,7 +26,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tracing::{debug, error, info};
 
 /// Runs the aggregator until it has shut down gracefully. `sailmux run` calls it.
@@ -72,10 +74,8 @@
     };
     let client_capacity = ClientCapacity::new(limits.max_client_connections());
     let client_permits = client_capacity.permits();
-    let (stop_accepting, accepting_stopped) = oneshot::channel();
     let effects = EffectDispatcher::new(EffectTargets {
         events: events.clone(),
-        stop_accepting,
         client_capacity,
         hot_restart,
         ledger,
@@ -97,20 +97,32 @@
     let discovery =
         DiscoveryStart { address: config.discovery, initial_list: config.known_endpoints, seed: config.seed };
     start_endpoint_sources(&mut event_loop, &events, inventory, discovery)?;
-    tokio::task::spawn_local(http::accept_clients(
-        listener,
-        events.clone(),
-        client_permits,
-        accepting_stopped,
-    ));
+    let http = HttpSessions::new(events.clone());
+    start_listener(&mut event_loop, listener, http, &events, &client_permits);
     info!("sailmux {}: serving on {address}", event_loop.name);
     if let Some(address) = flight_listen {
-        let stop = start_flight(address, &event_loop.name, events, limits).await?;
-        event_loop.effects.set_flight_stop(stop);
+        let listener = TcpListener::bind(address).await?;
+        info!("sailmux {}: Flight server on {}", event_loop.name, listener.local_addr()?);
+        let gateways = GatewaySessions::new(events.clone());
+        event_loop.state.add_listener();
+        start_listener(&mut event_loop, listener, gateways, &events, &client_permits);
     }
     Ok(event_loop)
 }
 
+/// Accepts clients of one protocol until the aggregator stops accepting.
+fn start_listener(
+    event_loop: &mut EventLoop,
+    listener: TcpListener,
+    sessions: impl SessionStarter + 'static,
+    events: &EventSender,
+    permits: &Arc<Semaphore>,
+) {
+    let (stop, stopped) = oneshot::channel();
+    event_loop.effects.add_listener(stop);
+    tokio::task::spawn_local(accept_clients(listener, sessions, events.clone(), permits.clone(), stopped));
+}
+
 /// The overrides that were stored before this process started, and the handle that stores further ones.
 struct InitialOverrides {
     /// `None` without an admin address, through which overrides are set, or if overrides cannot be stored.
@@ -191,20 +203,6 @@
     Ok(())
 }
 
-/// Starts the Flight server; it stops when the returned sender is dropped.
-async fn start_flight(
-    address: SocketAddr,
-    name: &str,
-    events: EventSender,
-    limits: Limits,
-) -> io::Result<oneshot::Sender<()>> {
-    let listener = TcpListener::bind(address).await?;
-    info!("sailmux {name}: Flight server on {}", listener.local_addr()?);
-    let (stop, stopped) = oneshot::channel();
-    tokio::task::spawn_local(flight::server::serve(listener, events, limits, stopped));
-    Ok(stop)
-}
-
 /// The inventory files' paths, for log lines.
 fn inventory_paths(inventory: Option<&operator::Inventory>) -> Vec<Arc<str>> {
     let files = inventory.into_iter().flat_map(|inventory| &inventory.files);
--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -334,3 +334,45 @@
     });
     assert!(matches!(reply, Some(Reply::Rejected { .. })), "{reply:?}");
 }
+
+fn closed_gateways(effects: &[Effect]) -> Vec<u64> {
+    let gateway = |effect: &Effect| match effect {
+        Effect::CloseGateway(gateway) => Some(gateway.0),
+        _ => None,
+    };
+    effects.iter().filter_map(gateway).collect()
+}
+
+#[test]
+fn calls_of_a_gateway_count_as_one_connection() {
+    // Guards against a gateway with many calls whose aggregator closes the connections of other clients.
+    let mut state = aggregator();
+    let limit = Limits::from_max_descriptors(1024).client_connections as u64;
+    reduce(&mut state, START, Event::GatewayOpened(GatewayId(0)));
+    for call in 0..limit {
+        let event = Event::CallOpened { call: ClientId((1 << 63) + call), gateway: GatewayId(0) };
+        reduce(&mut state, START, event);
+    }
+    for client in 1..limit {
+        let effects = reduce(&mut state, START + 1.0, Event::ClientOpened(ClientId(client)));
+        assert!(effects.is_empty(), "{client}: {effects:?}");
+    }
+    let effects = reduce(&mut state, START + 1.0, Event::ClientOpened(ClientId(limit)));
+    assert!(matches!(effects[..], [Effect::CloseClient(_)]), "{effects:?}");
+}
+
+#[test]
+fn idle_gateways_are_closed_when_a_sibling_process_takes_half_of_the_limits() {
+    // Guards against idle gateways that keep all capacity after a reload or hot restart has reduced it.
+    let mut state = aggregator();
+    let limit = Limits::from_max_descriptors(1024).client_connections as u64;
+    for gateway in 0..limit {
+        reduce(&mut state, START + gateway as f64, Event::GatewayOpened(GatewayId(gateway)));
+    }
+    let busy = Event::CallOpened { call: ClientId(1 << 63), gateway: GatewayId(0) };
+    reduce(&mut state, START + 1000.0, busy);
+    let siblings = Siblings { others: 1, any_ready: false };
+    let effects = reduce(&mut state, START + 1000.0, Event::SiblingsChanged(siblings));
+    let longest_idle: Vec<u64> = (1..=limit - limit / 2).collect();
+    assert_eq!(closed_gateways(&effects), longest_idle);
+}
--- a/tests/common/flight.rs
+++ b/tests/common/flight.rs
@@ -14,10 +14,11 @@
     HandshakeResponse, PollInfo, PutResult, SchemaResult, Ticket,
 };
 use futures_util::stream::{self, BoxStream, StreamExt, TryStreamExt};
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
 use tonic::transport::server::TcpIncoming;
@@ -195,6 +196,9 @@
     pub rows: Vec<(u32, String)>,
 }
 
+/// The initial window of an HTTP/2 stream, unless an endpoint sets another.
+const DEFAULT_WINDOW_BYTES: u32 = 65_535;
+
 /// A gateway with a connection to the aggregator's Flight server.
 pub struct Gateway {
     runtime: Runtime,
@@ -209,8 +213,14 @@
 
 impl Gateway {
     pub fn connect(address: &str) -> Self {
+        Self::connect_with_window(address, DEFAULT_WINDOW_BYTES)
+    }
+
+    /// A gateway that lets the aggregator send this many bytes of an answer before it has read the earlier ones.
+    pub fn connect_with_window(address: &str, window_bytes: u32) -> Self {
         let runtime = runtime();
         let endpoint = Channel::from_shared(format!("http://{address}")).expect("an address");
+        let endpoint = endpoint.initial_stream_window_size(window_bytes);
         let client = FlightServiceClient::new(runtime.block_on(endpoint.connect()).expect("accepted"));
         Gateway { runtime, client }
     }
@@ -227,6 +237,14 @@
         PendingAnswer { task, result }
     }
 
+    /// Requests an answer, and never reads it.
+    pub fn leave_unread(&self, ticket: String, deadline: Duration) -> Streaming<FlightData> {
+        let mut request = Request::new(Ticket { ticket: ticket.into() });
+        request.set_timeout(deadline);
+        let mut client = self.client.clone();
+        self.runtime.block_on(client.do_get(request)).expect("an answer").into_inner()
+    }
+
     pub fn info(&self, ticket: &str) -> Result<FlightInfo, Status> {
         let descriptor = FlightDescriptor::new_cmd(ticket.to_owned());
         let mut client = self.client.clone();
@@ -267,3 +285,32 @@
     let complete = schema.metadata().get("total").expect("`total` in the metadata").clone();
     Ok(GatewayAnswer { complete, rows })
 }
+
+/// The connection preface of HTTP/2 and an empty SETTINGS frame.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00";
+
+/// A gateway that has opened a connection, sends nothing more and answers nothing, as if it had vanished.
+pub struct SilentGateway(TcpStream);
+
+impl SilentGateway {
+    pub fn connect(address: &str) -> Self {
+        let mut stream = TcpStream::connect(address).expect("accepted");
+        stream.write_all(HTTP2_PREFACE).expect("written");
+        SilentGateway(stream)
+    }
+
+    /// Returns once the aggregator has closed the connection; panics after `timeout`.
+    pub fn wait_until_closed(&mut self, timeout: Duration) {
+        self.0.set_read_timeout(Some(timeout)).expect("set");
+        let started = Instant::now();
+        let mut buffer = [0; 1024];
+        // A reset is a close too.
+        while self.0.read(&mut buffer).unwrap_or_else(|error| match error.kind() {
+            ErrorKind::ConnectionReset => 0,
+            _ => panic!("still open after {timeout:?}: {error}"),
+        }) > 0
+        {
+            assert!(started.elapsed() < timeout, "still open after {timeout:?}");
+        }
+    }
+}
