Send answers over Flight completely before the process exits

Cause: the exit waited for clients alone. A Flight call ceased to be one when its answer was ready, before any of it was sent, and nobody knew or waited for the connection that carries it. The Flight listener's queue was reset.

Change: check_exit waits for gateways' connections and each listener; a call is open until its answer has left the connection's buffers (flight::call_tracker, which replaces call_streams); the close lingers, as over HTTP. An answer not read within 5 s no longer counts, so that a hung gateway does not prevent the exit.

Why it works: GOAWAY ends a connection with its last call, and the exit follows the end of the connections. What HTTP/2 holds back for want of a window keeps its call open, whatever the stream's task does.

--- a/src/aggregator/lifecycle.rs
+++ b/src/aggregator/lifecycle.rs
@@ -247,8 +247,10 @@
     /// has been written, and no new ones can be opened.
     pub(super) fn check_exit(&mut self) {
         let state = &mut *self.state;
-        let is_complete =
-            state.lifecycle.is_shutting_down() && state.open_listeners == 0 && state.clients.is_empty();
+        let is_complete = state.lifecycle.is_shutting_down()
+            && state.open_listeners == 0
+            && state.clients.is_empty()
+            && state.gateways.is_empty();
         if is_complete && !state.exited {
             state.exited = true;
             self.effects.push(Effect::Exit);
--- /dev/null
+++ b/src/net/flight/call_tracker.rs
@@ -0,0 +1,181 @@
+//! Tracks the calls of a gateway connection from the first byte of the request until the answer has been written to the
+//! socket, and bounds the time that a gateway may take to send a request and to read an answer.
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, Incoming};
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Sleep, sleep, timeout};
+use tonic::Status;
+use tonic::body::Body;
+use tracing::debug;
+
+/// Time within which a request must be complete, from its headers; the same as over HTTP/1.1.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time within which an answer must have been written; the same as over HTTP/1.1. An answer that the gateway has no window
+/// for stays in the connection's buffers.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The calls in flight on one connection, and the executor that runs their streams.
+#[derive(Clone, Default)]
+pub(super) struct CallTracker {
+    activity: watch::Sender<Activity>,
+}
+
+/// The state of a connection's calls.
+#[derive(Default)]
+struct Activity {
+    /// Number of streams that are running and of answers that are being written.
+    open: usize,
+    /// Whether a call has been answered.
+    has_answered: bool,
+    /// Whether the gateway has not read an answer in time.
+    has_stalled: bool,
+}
+
+/// Counts as open until it is dropped.
+struct OpenGuard(watch::Sender<Activity>);
+
+/// Keeps a call open while any part of its answer is in the connection's buffers.
+struct UnwrittenAnswer {
+    /// Dropped when the answer has been written.
+    _written: oneshot::Sender<()>,
+    /// Extensions of the response, among them the call itself.
+    _call: http::Extensions,
+}
+
+impl CallTracker {
+    /// Whether a call has been answered, so that data may still be on its way to the gateway.
+    pub fn has_answered(&self) -> bool {
+        self.activity.borrow().has_answered
+    }
+
+    /// Waits until the gateway has failed to read an answer in time.
+    pub async fn stalled(&self) {
+        let _ = self.activity.subscribe().wait_for(|activity| activity.has_stalled).await;
+    }
+
+    /// Waits until no call has been open for `period`. Those whose answers the gateway does not read no longer count.
+    pub async fn none_open_for(&self, period: Duration) {
+        let mut activity = self.activity.subscribe();
+        loop {
+            if activity.wait_for(|activity| activity.open == 0).await.is_err() {
+                return;
+            }
+            if timeout(period, activity.wait_for(|activity| activity.open > 0)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Makes a request fail unless it is complete in time.
+    pub fn track_request(request: http::Request<Incoming>) -> http::Request<TimedBody> {
+        request.map(|body| TimedBody { body, deadline: Box::pin(sleep(REQUEST_TIMEOUT)) })
+    }
+
+    /// Counts the call as open, and keeps its extensions, until its answer has been written.
+    pub fn track_answer(&self, mut response: http::Response<Body>) -> http::Response<Body> {
+        let (written, all_written) = oneshot::channel();
+        let open = self.open();
+        let activity = self.activity.clone();
+        activity.send_modify(|activity| activity.has_answered = true);
+        spawn_local(async move {
+            if timeout(WRITE_TIMEOUT, all_written).await.is_err() {
+                debug!("gateway has not read an answer in time");
+                activity.send_modify(|activity| activity.has_stalled = true);
+            }
+            drop(open);
+        });
+        let call = std::mem::take(response.extensions_mut());
+        let answer = Arc::new(UnwrittenAnswer { _written: written, _call: call });
+        response.map(|body| Body::new(TrackedBody { body, answer }))
+    }
+
+    fn open(&self) -> OpenGuard {
+        self.activity.send_modify(|activity| activity.open += 1);
+        OpenGuard(self.activity.clone())
+    }
+}
+
+impl<F: Future + 'static> hyper::rt::Executor<F> for CallTracker {
+    fn execute(&self, stream: F) {
+        let open = self.open();
+        spawn_local(async move {
+            drop(stream.await);
+            drop(open);
+        });
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.send_modify(|activity| activity.open -= 1);
+    }
+}
+
+/// A request body that fails unless it is complete in time.
+pub(super) struct TimedBody {
+    body: Incoming,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl HttpBody for TimedBody {
+    type Data = Bytes;
+    type Error = Status;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Status>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
+            return Poll::Ready(frame.map(|frame| frame.map_err(|error| Status::unknown(error.to_string()))));
+        }
+        ready!(self.deadline.as_mut().poll(context));
+        Poll::Ready(Some(Err(Status::deadline_exceeded("the request is not complete"))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
+
+/// The body of an answer, whose data keeps the call open until the connection has written and dropped it.
+struct TrackedBody {
+    body: Body,
+    answer: Arc<UnwrittenAnswer>,
+}
+
+/// Data of an answer in the connection's buffers.
+struct TrackedData {
+    data: Bytes,
+    _answer: Arc<UnwrittenAnswer>,
+}
+
+impl AsRef<[u8]> for TrackedData {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+impl HttpBody for TrackedBody {
+    type Data = Bytes;
+    type Error = Status;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Status>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        let track = |data| Bytes::from_owner(TrackedData { data, _answer: self.answer.clone() });
+        Poll::Ready(frame.map(|frame| frame.map(|frame| frame.map_data(track))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
--- a/src/net/flight/gateway.rs
+++ b/src/net/flight/gateway.rs
@@ -1,16 +1,18 @@
 //! One gateway connection: serves its calls over HTTP/2 until either side closes it. A close asked for by the aggregator
 //! is graceful: the gateway is told to send no more calls, and those in flight are answered first.
 
-use super::call_streams::{CallStreams, REQUEST_TIMEOUT, TimedBody};
+use super::call_tracker::CallTracker;
 use super::server::{MAX_MESSAGE_BYTES, QueryService};
 use crate::aggregator::{Event, GatewayId};
 use crate::net::client_listener::SessionStarter;
+use crate::net::lingering_close::lingering_close;
 use crate::net::messages::EventSender;
 use arrow_flight::flight_service_server::FlightServiceServer;
-use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::future::pending;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -24,11 +26,8 @@
 const FIRST_CALL_ID: u64 = 1 << 63;
 /// Maximum number of calls in flight on one connection.
 const MAX_CALLS_PER_CONNECTION: u32 = 256;
-/// Time within which a gateway without calls acknowledges that its connection is being closed; then it is dropped.
+/// Time without calls after which a gateway that has not acknowledged the close of its connection is disconnected.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after the last call within which a gateway must have read the rest of its answer while its connection is being
-/// closed.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Numbers the gateways and their calls, and starts a task for each connection.
 pub(in crate::net) struct GatewaySessions {
@@ -55,7 +54,12 @@
         let service = QueryService::new(gateway, self.next_call.clone(), events.clone());
         tokio::task::spawn_local(async move {
             let _ = stream.set_nodelay(true);
-            serve(&mut stream, service, close_requested).await;
+            let calls = CallTracker::default();
+            serve(&mut stream, service, &calls, close_requested).await;
+            if calls.has_answered() {
+                // An I/O error means that the gateway has disconnected.
+                let _ = lingering_close(&mut stream, pending()).await;
+            }
             drop(stream);
             drop(permit);
             let _ = events.send(Event::GatewayClosed(gateway)).await;
@@ -63,25 +67,36 @@
     }
 }
 
-/// Serves the connection until the gateway closes it, or until it is closed after the sender of `close_requested` has
-/// been dropped.
-async fn serve(stream: &mut TcpStream, service: QueryService, close_requested: oneshot::Receiver<()>) {
+/// Serves the connection until the gateway closes it, or until it is closed because the sender of `close_requested` has been
+/// dropped or the gateway does not read an answer.
+async fn serve(
+    stream: &mut TcpStream,
+    service: QueryService,
+    calls: &CallTracker,
+    close_requested: oneshot::Receiver<()>,
+) {
     let flight = FlightServiceServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
-    let service = service_fn(move |request: http::Request<Incoming>| {
+    let tracker = calls.clone();
+    let service = service_fn(move |request| {
         let mut flight = flight.clone();
-        flight.call(request.map(|body| TimedBody::new(body, REQUEST_TIMEOUT)))
+        let tracker = tracker.clone();
+        async move {
+            let response = flight.call(CallTracker::track_request(request)).await?;
+            Ok::<_, Infallible>(tracker.track_answer(response))
+        }
     });
-    let streams = CallStreams::default();
-    let mut builder = http2::Builder::new(streams.clone());
+    let mut builder = http2::Builder::new(calls.clone());
     builder.timer(TokioTimer::new()).max_concurrent_streams(MAX_CALLS_PER_CONNECTION);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         result = connection.as_mut() => return log_end(result),
-        _ = close_requested => connection.as_mut().graceful_shutdown(),
+        _ = close_requested => {}
+        () = calls.stalled() => {}
     }
+    connection.as_mut().graceful_shutdown();
     tokio::select! {
         result = connection => log_end(result),
-        () = streams.all_ended(CLOSE_TIMEOUT, FLUSH_TIMEOUT) => {
+        () = calls.none_open_for(CLOSE_TIMEOUT) => {
             debug!("gateway has not acknowledged the close of its connection");
         }
     }
--- a/src/net/flight/server.rs
+++ b/src/net/flight/server.rs
@@ -1,7 +1,6 @@
 //! The Flight service for gateways: `DoGet` with a ticket that contains the query, and `GetFlightInfo` for such a ticket.
 
 use super::answer::{self, FlightStream};
-use super::call_streams::start_write_timeout;
 use super::ticket::{self, MAX_TICKET_BYTES, QueryTicket};
 use crate::aggregator::{ClientId, Event, GatewayId, NewQuery};
 use crate::net::messages::{AggregatorStopped, CLIENT_QUEUE_LENGTH, ClientMessage, EventSender};
@@ -94,8 +93,10 @@
         loop {
             match call.messages.recv().await {
                 Some(ClientMessage::Reply { reply, .. }) => {
-                    start_write_timeout();
-                    return answer::response(reply);
+                    let mut response = answer::response(reply)?;
+                    // The call is open until its answer has been written.
+                    response.extensions_mut().insert(Arc::new(call));
+                    return Ok(response);
                 }
                 // A call ends with its reply anyway.
                 Some(ClientMessage::Close) => {}
--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -343,6 +343,40 @@
     effects.iter().filter_map(gateway).collect()
 }
 
+fn exits(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| matches!(effect, Effect::Exit))
+}
+
+#[test]
+fn a_shutdown_waits_for_gateways() {
+    // Guards against an exit while answers are still being written to gateways.
+    let mut state = aggregator();
+    state.add_listener();
+    let (gateway, call) = (GatewayId(1), ClientId(1 << 63));
+    reduce(&mut state, START + 1.0, Event::GatewayOpened(gateway));
+    reduce(&mut state, START + 1.0, Event::CallOpened { call, gateway });
+    reduce(&mut state, START + 2.0, Event::ShutdownRequested);
+    let effects = reduce(&mut state, START + 700.0, Event::TimerFired);
+    assert_eq!(closed_gateways(&effects), [1], "a call in flight ends by itself");
+    let effects = reduce(&mut state, START + 900.0, Event::TimerFired);
+    assert!(closed_gateways(&effects).is_empty(), "it is being closed already");
+    for event in [Event::ClientClosed(call), Event::ListenerClosed, Event::ListenerClosed] {
+        assert!(!exits(&reduce(&mut state, START + 901.0, event)), "the answer may not be written yet");
+    }
+    assert!(exits(&reduce(&mut state, START + 902.0, Event::GatewayClosed(gateway))));
+}
+
+#[test]
+fn a_shutdown_waits_for_every_listener() {
+    // Guards against an exit while one listener still accepts the connections in its queue.
+    let mut state = aggregator();
+    state.add_listener();
+    reduce(&mut state, START + 2.0, Event::ShutdownRequested);
+    reduce(&mut state, START + 700.0, Event::TimerFired);
+    assert!(!exits(&reduce(&mut state, START + 701.0, Event::ListenerClosed)));
+    assert!(exits(&reduce(&mut state, START + 702.0, Event::ListenerClosed)));
+}
+
 #[test]
 fn calls_of_a_gateway_count_as_one_connection() {
     // Guards against a gateway with many calls whose aggregator closes the connections of other clients.
--- a/tests/common/flight.rs
+++ b/tests/common/flight.rs
@@ -237,7 +237,7 @@
         PendingAnswer { task, result }
     }
 
-    /// Requests an answer, and never reads it.
+    /// Requests an answer and leaves it unread.
     pub fn leave_unread(&self, ticket: String, deadline: Duration) -> Streaming<FlightData> {
         let mut request = Request::new(Ticket { ticket: ticket.into() });
         request.set_timeout(deadline);
@@ -245,6 +245,11 @@
         self.runtime.block_on(client.do_get(request)).expect("an answer").into_inner()
     }
 
+    /// Reads an answer that was left unread.
+    pub fn read(&self, answer: Streaming<FlightData>) -> Result<GatewayAnswer, Status> {
+        self.runtime.block_on(read_answer(answer))
+    }
+
     pub fn info(&self, ticket: &str) -> Result<FlightInfo, Status> {
         let descriptor = FlightDescriptor::new_cmd(ticket.to_owned());
         let mut client = self.client.clone();
@@ -272,7 +277,10 @@
     client: &mut FlightServiceClient<Channel>,
     request: Request<Ticket>,
 ) -> Result<GatewayAnswer, Status> {
-    let stream = client.do_get(request).await?.into_inner();
+    read_answer(client.do_get(request).await?.into_inner()).await
+}
+
+async fn read_answer(stream: Streaming<FlightData>) -> Result<GatewayAnswer, Status> {
     let stream = stream.map_err(|status| FlightError::Tonic(Box::new(status)));
     let mut batches = FlightRecordBatchStream::new_from_flight_data(stream);
     let mut rows = Vec::new();
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -7,6 +7,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod discovery;
+mod gateways;
 mod leaf_connections;
 mod reload;
 mod shutdown;
