Let a gateway that has just connected send its first call

Callers would see: with all other connections busy and their number above the limit, a gateway that connects is told to leave (GOAWAY) before its first call, connects again, and again.

Cause: the limit on connections closed the longest idle one, and the newcomer was the only idle one.

Change: a gateway's own opening does not close it; the next opening, or the end of a call, may.

--- a/src/aggregator/clients.rs
+++ b/src/aggregator/clients.rs
@@ -22,7 +22,7 @@
 }
 
 /// A client's connection in either protocol.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum ClientConnection {
     Http(ClientId),
     Gateway(GatewayId),
@@ -54,7 +54,7 @@
 impl Reduction<'_> {
     pub(super) fn client_opened(&mut self, client: ClientId) {
         self.add_client(client, None);
-        self.enforce_client_limit();
+        self.enforce_client_limit(None);
     }
 
     pub(super) fn add_client(&mut self, client: ClientId, gateway: Option<GatewayId>) {
@@ -83,13 +83,16 @@
     }
 
     /// Closes an idle connection if too many are open. Clients and gateways keep idle connections open, which would
-    /// exhaust the file descriptors.
-    pub(super) fn enforce_client_limit(&mut self) {
+    /// exhaust the file descriptors. `newcomer` is a gateway that has just connected: told to leave before its first call,
+    /// it would connect again and again while the others have calls in flight.
+    pub(super) fn enforce_client_limit(&mut self, newcomer: Option<GatewayId>) {
         if self.open_connections() <= self.state.limits.client_connections {
             return;
         }
         let now = self.now;
-        let first_to_close = self.idle_connections().min_by(|(_, a), (_, b)| {
+        let newcomer = newcomer.map(ClientConnection::Gateway);
+        let candidates = self.idle_connections().filter(|(connection, _)| Some(*connection) != newcomer);
+        let first_to_close = candidates.min_by(|(_, a), (_, b)| {
             a.close_order(now).cmp(&b.close_order(now)).then(a.idle_since.total_cmp(&b.idle_since))
         });
         if let Some(connection) = first_to_close.map(|(connection, _)| connection) {
--- a/src/aggregator/gateways.rs
+++ b/src/aggregator/gateways.rs
@@ -19,7 +19,7 @@
         self.state.counters.gateways_opened += 1;
         let record = Gateway { calls: 0, usage: ConnectionUsage::new(self.now) };
         self.state.gateways.insert(gateway, record);
-        self.enforce_client_limit();
+        self.enforce_client_limit(Some(gateway));
     }
 
     pub(super) fn gateway_closed(&mut self, gateway: GatewayId) {
@@ -46,7 +46,7 @@
         record.calls -= 1;
         record.usage.idle_since = self.now;
         // Unlike an idle HTTP client, an idle gateway stays connected until capacity runs short.
-        self.enforce_client_limit();
+        self.enforce_client_limit(None);
         self.enforce_idle_client_limit();
     }
 
--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -410,3 +410,19 @@
     let longest_idle: Vec<u64> = (1..=limit - limit / 2).collect();
     assert_eq!(closed_gateways(&effects), longest_idle);
 }
+
+#[test]
+fn a_gateway_that_has_just_connected_is_not_told_to_leave() {
+    // Guards against a gateway that connects again and again while all others have calls in flight.
+    let mut state = aggregator();
+    let limit = Limits::from_max_descriptors(1024).client_connections as u64;
+    for gateway in 0..limit {
+        reduce(&mut state, START, Event::GatewayOpened(GatewayId(gateway)));
+        let call = ClientId((1 << 63) + gateway);
+        reduce(&mut state, START, Event::CallOpened { call, gateway: GatewayId(gateway) });
+    }
+    let effects = reduce(&mut state, START + 1.0, Event::GatewayOpened(GatewayId(limit)));
+    assert!(closed_gateways(&effects).is_empty());
+    let effects = reduce(&mut state, START + 2.0, Event::GatewayOpened(GatewayId(limit + 1)));
+    assert_eq!(closed_gateways(&effects), [limit], "it has sent nothing, and another needs its place");
+}
--- a/tests/endings/gateways.rs
+++ b/tests/endings/gateways.rs
@@ -77,9 +77,12 @@
 #[test]
 fn a_failure_reported_to_a_gateway_at_shutdown_arrives() {
     let leaf_server = LeafServer::new();
-    let (mut aggregator, flight) = start(&leaf_server);
-    let gateway = Gateway::connect(&flight);
-    let answer = gateway.start_query(ticket("q", &[0]), Duration::from_millis(1500));
+    // The deadline of the class is far below the gateway's, which would otherwise give up at the same time.
+    let operator = Some("flight:\n  listen: 127.0.0.1:0\n".to_owned());
+    let setup = Setup { operator, deadline_ms: 1500, ..with_leaf_server(&leaf_server) };
+    let mut aggregator = setup.start();
+    let gateway = Gateway::connect(&aggregator.flight_address());
+    let answer = gateway.start_query(ticket("q", &[0]), DEADLINE);
     let mut connection = leaf_server.accept();
     assert_eq!(connection.next_part(), "q.0");
     begin_shutdown(&mut aggregator);
