Count why client connections end, and report the resident memory on /metrics

The evidence does not say why a connection was closed or how much memory a process had. Each HTTP connection now ends with a typed reason, counted as client_ends and logged at level debug with the client's number; /metrics and SIGUSR1 also show the resident memory. The I/O layer's metrics follow the aggregator's counters, whose names are unchanged.

--- a/src/net/effects.rs
+++ b/src/net/effects.rs
@@ -7,8 +7,9 @@
 use super::leaf_connection;
 use super::ledger_writer::{LedgerWriter, PendingReply};
 use super::messages::{ClientMessage, EventSender, LEAF_QUEUE_LENGTH, LeafMessage};
+use super::metrics::NetMetrics;
 use crate::aggregator::{
-    AdminCallId, AdminOutcome, ClientId, ConnectionId, Effect, GatewayId, Lifecycle, Siblings,
+    AdminCallId, AdminOutcome, ClientId, ConnectionId, Effect, GatewayId, Lifecycle, Reply, Siblings,
 };
 use crate::clock::Millis;
 use crate::hot_restart::Overrides;
@@ -37,6 +38,7 @@
     ledger: Option<LedgerWriter>,
     /// Paths of the inventory files, for log lines.
     inventory_paths: Vec<Arc<str>>,
+    metrics: NetMetrics,
 }
 
 /// The channels and handles through which an [`EffectDispatcher`] carries out effects.
@@ -46,6 +48,7 @@
     pub hot_restart: Option<HotRestartHandle>,
     pub ledger: Option<LedgerWriter>,
     pub inventory_paths: Vec<Arc<str>>,
+    pub metrics: NetMetrics,
 }
 
 impl EffectDispatcher {
@@ -62,6 +65,7 @@
             hot_restart: targets.hot_restart,
             ledger: targets.ledger,
             inventory_paths: targets.inventory_paths,
+            metrics: targets.metrics,
         }
     }
 
@@ -170,7 +174,15 @@
         }
     }
 
-    fn reply(&mut self, reply: PendingReply) {
+    /// The metrics of the I/O layer.
+    pub fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+
+    fn reply(&mut self, mut reply: PendingReply) {
+        if let Reply::Metrics(text) = &mut reply.reply {
+            text.push_str(&self.metrics_text());
+        }
         let ready = match &mut self.ledger {
             Some(ledger) => ledger.hold(reply),
             None => Some(reply),
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -78,7 +78,7 @@
             let event = match self.next_wakeup().await {
                 Wakeup::InputsClosed => return,
                 Wakeup::PrintCountersSignal => {
-                    eprint!("{}", self.state.counters_text());
+                    self.print_metrics();
                     continue;
                 }
                 wakeup => self.event_for(wakeup),
@@ -103,7 +103,11 @@
     /// Waits until the ledger's thread has written its entries, for a bounded time, and prints the counters.
     pub fn finish(&mut self) {
         self.effects.finish_ledger();
-        eprint!("{}", self.state.counters_text());
+        self.print_metrics();
+    }
+
+    fn print_metrics(&self) {
+        eprint!("{}{}", self.state.counters_text(), self.effects.metrics_text());
     }
 
     async fn next_wakeup(&mut self) -> Wakeup {
--- a/src/net/http/listener.rs
+++ b/src/net/http/listener.rs
@@ -2,6 +2,7 @@
 
 use super::session;
 use crate::aggregator::ClientId;
+use crate::net::client_end::ClientEndCounters;
 use crate::net::client_listener::SessionStarter;
 use crate::net::messages::{CLIENT_QUEUE_LENGTH, EventSender};
 use tokio::net::TcpStream;
@@ -11,11 +12,12 @@
 pub(crate) struct HttpSessions {
     next_client_id: u64,
     events: EventSender,
+    ends: ClientEndCounters,
 }
 
 impl HttpSessions {
-    pub fn new(events: EventSender) -> Self {
-        HttpSessions { next_client_id: 0, events }
+    pub fn new(events: EventSender, ends: ClientEndCounters) -> Self {
+        HttpSessions { next_client_id: 0, events, ends }
     }
 }
 
@@ -28,8 +30,10 @@
             return;
         }
         let events = self.events.clone();
+        let ends = self.ends.clone();
         tokio::task::spawn_local(async move {
-            session::run(stream, client, messages, &events).await;
+            let end = session::run(stream, client, messages, &events).await;
+            ends.record(client, end);
             drop(permit);
         });
     }
--- a/src/net/http/session.rs
+++ b/src/net/http/session.rs
@@ -3,6 +3,7 @@
 use super::request::{self, MAX_HEAD_BYTES, Operation, Parsed, ParsedRequest, RequestError};
 use super::response;
 use crate::aggregator::{ClientId, Event, Reply};
+use crate::net::client_end::ClientEnd;
 use crate::net::lingering_close::lingering_close;
 use crate::net::messages::{ClientMessage, EventSender};
 use crate::net::read_buffer::ReadBuffer;
@@ -33,13 +34,13 @@
 /// 0.1 s after the client has disconnected.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Serves one client until its connection ends, then sends [`Event::ClientClosed`].
+/// Serves one client until its connection ends, then sends [`Event::ClientClosed`]. Returns why it has ended.
 pub(super) async fn run(
     stream: TcpStream,
     client: ClientId,
     messages: mpsc::Receiver<ClientMessage>,
     events: &EventSender,
-) {
+) -> ClientEnd {
     let _ = stream.set_nodelay(true);
     let mut session = Session {
         stream,
@@ -50,9 +51,12 @@
         idle_since: Instant::now(),
         closing_since: None,
     };
-    // An I/O error is not reported: it means that the client has disconnected.
-    let _ = session.serve().await;
+    let end = session.serve().await.unwrap_or_else(|error| match error.kind() {
+        io::ErrorKind::TimedOut => ClientEnd::UnreadResponse,
+        _ => ClientEnd::Disconnected,
+    });
     let _ = events.send(Event::ClientClosed(client)).await;
+    end
 }
 
 struct Session<'a> {
@@ -71,8 +75,10 @@
 enum ReadOutcome {
     Request(Request),
     Rejected(RequestError),
-    /// The connection has ended or is to be closed; no request is in progress.
-    ConnectionEnded,
+    /// The client has closed the connection; no complete request has been received.
+    Disconnected,
+    /// The connection is idle and is to be closed.
+    Idle,
 }
 
 /// A request that has been read.
@@ -89,35 +95,43 @@
 }
 
 impl Session<'_> {
-    async fn serve(&mut self) -> io::Result<()> {
+    async fn serve(&mut self) -> io::Result<ClientEnd> {
         let mut is_first = true;
         loop {
             let request = match self.read_request(is_first).await? {
                 ReadOutcome::Request(request) => request,
                 ReadOutcome::Rejected(error) => return self.reject(error).await,
-                ReadOutcome::ConnectionEnded => return Ok(()),
+                ReadOutcome::Disconnected => return Ok(ClientEnd::Disconnected),
+                ReadOutcome::Idle => return Ok(ClientEnd::Idle),
             };
             is_first = false;
             // The request may have waited in the buffer, and the client may have disconnected since.
             if self.client_has_disconnected().await? {
-                return Ok(());
+                return Ok(ClientEnd::Disconnected);
             }
             let _ = self.events.send(request.event).await;
-            let Some(ClientReply { reply, close }) = self.await_reply().await? else { return Ok(()) };
+            let Some(ClientReply { reply, close }) = self.await_reply().await? else {
+                return Ok(ClientEnd::Disconnected);
+            };
             let close = close || self.closing_since.is_some() || !request.keep_alive;
             self.write(&response::render_reply(reply, close)).await?;
             if close {
-                return self.lingering_close().await;
+                self.lingering_close().await?;
+                return Ok(ClientEnd::Finished);
             }
             self.idle_since = Instant::now();
         }
     }
 
     /// Responds to a malformed request and ends the connection, as the start of the next request is unknown.
-    async fn reject(&mut self, error: RequestError) -> io::Result<()> {
+    async fn reject(&mut self, error: RequestError) -> io::Result<ClientEnd> {
         let _ = self.events.send(Event::RequestMalformed(Some(self.client))).await;
         self.write(&response::render_error(error)).await?;
-        self.lingering_close().await
+        self.lingering_close().await?;
+        Ok(match error {
+            RequestError::Timeout => ClientEnd::RequestTimeout,
+            _ => ClientEnd::Malformed,
+        })
     }
 
     async fn read_request(&mut self, is_first: bool) -> io::Result<ReadOutcome> {
@@ -144,7 +158,7 @@
                 if has_started {
                     deadline = deadline.min(closing_since + REQUEST_TIMEOUT_WHILE_CLOSING);
                 } else if final_read_granted {
-                    return Ok(ReadOutcome::ConnectionEnded);
+                    return Ok(ReadOutcome::Idle);
                 } else {
                     // A request that arrives at the same time would be lost by an immediate close.
                     final_read_granted = true;
@@ -153,16 +167,16 @@
             }
             tokio::select! {
                 read = timeout_at(deadline, self.input.read(&self.stream)) => match read {
-                    Ok(Ok(0)) => return Ok(ReadOutcome::ConnectionEnded),
+                    Ok(Ok(0)) => return Ok(ReadOutcome::Disconnected),
                     Ok(Ok(_)) => {}
                     Ok(Err(error)) => return Err(error),
                     Err(_) if has_started => return Ok(ReadOutcome::Rejected(RequestError::Timeout)),
-                    Err(_) => return Ok(ReadOutcome::ConnectionEnded),
+                    Err(_) => return Ok(ReadOutcome::Idle),
                 },
                 message = self.messages.recv() => match message {
                     Some(ClientMessage::Close) => self.begin_closing(),
                     Some(ClientMessage::Reply { .. }) => {}
-                    None => return Ok(ReadOutcome::ConnectionEnded),
+                    None => return Ok(ReadOutcome::Idle),
                 },
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 
 mod admin;
 mod chunked;
+mod client_end;
 mod client_listener;
 mod discovery_watch;
 mod effects;
@@ -22,6 +23,7 @@
 mod lingering_close;
 mod listener;
 mod messages;
+mod metrics;
 mod query_body;
 mod read_buffer;
 mod server;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -13,6 +13,7 @@
 use super::ledger_writer::LedgerWriter;
 use super::listener::{self, AddressSharing};
 use super::messages::{EventSender, event_queue};
+use super::metrics::NetMetrics;
 use crate::aggregator::{Event, Limits, State};
 use crate::clock::Clock;
 use crate::config::Config;
@@ -74,12 +75,14 @@
     };
     let client_capacity = ClientCapacity::new(limits.max_client_connections());
     let client_permits = client_capacity.permits();
+    let metrics = NetMetrics::default();
     let effects = EffectDispatcher::new(EffectTargets {
         events: events.clone(),
         client_capacity,
         hot_restart,
         ledger,
         inventory_paths: inventory_paths(inventory.as_ref()),
+        metrics: metrics.clone(),
     });
     let mut event_loop = EventLoop {
         name: config.name,
@@ -97,7 +100,7 @@
     let discovery =
         DiscoveryStart { address: config.discovery, initial_list: config.known_endpoints, seed: config.seed };
     start_endpoint_sources(&mut event_loop, &events, inventory, discovery)?;
-    let http = HttpSessions::new(events.clone());
+    let http = HttpSessions::new(events.clone(), metrics.client_ends);
     start_listener(&mut event_loop, listener, http, &events, &client_permits);
     info!("sailmux {}: serving on {address}", event_loop.name);
     if let Some(address) = flight_listen {
