--- a/tests/common/process/client.rs
+++ b/tests/common/process/client.rs
@@ -39,6 +39,16 @@
     )
 }
 
+/// A query with a payload of its own.
+pub fn query_with_payload(id: &str, deadline: &str, shards: &[u32], payload: &str) -> String {
+    let request = query(id, deadline, shards);
+    let (head, body) = request.split_once("\r\n\r\n").expect("a body");
+    let body_with_payload = body.replace("c41e77d0", payload);
+    let length = |body: &str| format!("Content-Length: {}", body.len());
+    let head = head.replace(&length(body), &length(&body_with_payload));
+    format!("{head}\r\n\r\n{body_with_payload}")
+}
+
 impl Client {
     pub fn connect(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).expect("the aggregator accepts");
--- a/tests/common/process/discovery.rs
+++ b/tests/common/process/discovery.rs
@@ -47,8 +47,13 @@
 impl Watch {
     /// Sends a line as one chunk of the watch's response.
     pub fn send_event(&mut self, line: &str) {
+        assert!(self.try_send_event(line), "the aggregator reads");
+    }
+
+    /// Sends a line on a watch that may be closed; returns whether it is still open.
+    pub fn try_send_event(&mut self, line: &str) -> bool {
         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
-        self.stream.get_mut().write_all(chunk.as_bytes()).expect("the aggregator reads");
+        self.stream.get_mut().write_all(chunk.as_bytes()).is_ok()
     }
 
     /// Waits until the aggregator closes the watch.
--- a/tests/common/process/program.rs
+++ b/tests/common/process/program.rs
@@ -200,8 +200,17 @@
 
     /// Resident memory of the process in KB.
     pub fn memory_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+
+    /// The most resident memory that the process has had, in KB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        self.status_kb("VmHWM:")
+    }
+
+    fn status_kb(&self, field: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0 kB");
+        let line = status.lines().find_map(|line| line.strip_prefix(field)).unwrap_or("0 kB");
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
