Bound the memory of gateways' calls and connections

Callers saw: 500 gateways with 16 half-sent calls each took a process of 32 MB to 188 MB (340 MB in a trial with 700 and 400 header fields of one letter), and another client waited 2.7 s for its answer.

Cause: tonic allocates the length that a message declares, for up to 256 calls on each connection; HTTP/2 kept up to 1 MB for each call and 16 KB of header fields as a map; the number of gateways was bounded by descriptors alone, at 16 to 43 KB each.

Change: net::flight::call_request reads a request under the budget for peers' data before tonic sees it, and keeps the five headers that are used. A call counts from its first byte until its answer is written; a gateway whose request is not complete in time, or whose memory is needed, loses its connection with GOAWAY, as the README says and as over HTTP. Windows are 64 KB, header lists 4 KB. Limits::gateway_connections bounds the gateways by an eighth of the memory; idle ones are closed for others.

tests/aggregator.rs gives its limits ample memory, so that descriptors bind there as before; a new test binds the gateways by memory.

--- a/src/aggregator/clients.rs
+++ b/src/aggregator/clients.rs
@@ -68,9 +68,13 @@
     pub(super) fn open_connections(&self) -> usize {
         let clients = self.state.clients.values().filter(|client| client.is_connection());
         let clients = clients.filter(|client| client.query.is_some() || !client.usage.closing);
+        clients.count() + self.open_gateways()
+    }
+
+    /// Number of gateways' connections, counted in the same way.
+    pub(super) fn open_gateways(&self) -> usize {
         let gateways = self.state.gateways.values();
-        let gateways = gateways.filter(|gateway| !gateway.is_idle() || !gateway.usage.closing);
-        clients.count() + gateways.count()
+        gateways.filter(|gateway| !gateway.is_idle() || !gateway.usage.closing).count()
     }
 
     /// The connections without a request in progress that are not being closed.
@@ -82,16 +86,21 @@
         clients.chain(gateways).filter(|(_, usage)| !usage.closing)
     }
 
-    /// Closes an idle connection if too many are open. Clients and gateways keep idle connections open, which would
+    /// Closes an idle connection if too many are open, of a gateway if there are too many of these. Clients and gateways keep idle connections open, which would
     /// exhaust the file descriptors. `newcomer` is a gateway that has just connected: told to leave before its first call,
     /// it would connect again and again while the others have calls in flight.
     pub(super) fn enforce_client_limit(&mut self, newcomer: Option<GatewayId>) {
-        if self.open_connections() <= self.state.limits.client_connections {
+        let limits = self.state.limits;
+        let too_many_gateways = self.open_gateways() > limits.gateway_connections;
+        if !too_many_gateways && self.open_connections() <= limits.client_connections {
             return;
         }
         let now = self.now;
         let newcomer = newcomer.map(ClientConnection::Gateway);
-        let candidates = self.idle_connections().filter(|(connection, _)| Some(*connection) != newcomer);
+        let candidates = self.idle_connections().filter(|(connection, _)| {
+            let is_gateway = matches!(connection, ClientConnection::Gateway(_));
+            Some(*connection) != newcomer && (is_gateway || !too_many_gateways)
+        });
         let first_to_close = candidates.min_by(|(_, a), (_, b)| {
             a.close_order(now).cmp(&b.close_order(now)).then(a.idle_since.total_cmp(&b.idle_since))
         });
--- a/src/aggregator/gateways.rs
+++ b/src/aggregator/gateways.rs
@@ -50,9 +50,12 @@
         self.enforce_idle_client_limit();
     }
 
-    /// Closes idle gateways, the longest idle first, until the limit on connections holds. Called when the limit shrinks.
+    /// Closes idle gateways, the longest idle first, until the limits on connections hold. Called when the limit shrinks.
     pub(super) fn close_excess_gateways(&mut self) {
-        let excess = self.open_connections().saturating_sub(self.state.limits.client_connections);
+        let limits = self.state.limits;
+        let excess_connections = self.open_connections().saturating_sub(limits.client_connections);
+        let excess_gateways = self.open_gateways().saturating_sub(limits.gateway_connections);
+        let excess = excess_connections.max(excess_gateways);
         let idle =
             self.state.gateways.iter().filter(|(_, gateway)| gateway.is_idle() && !gateway.usage.closing);
         let mut idle: Vec<(Millis, GatewayId)> =
--- a/src/aggregator/limits.rs
+++ b/src/aggregator/limits.rs
@@ -7,6 +7,11 @@
 /// connections and queries, the endpoint list, and the allocator's overhead.
 const PEER_DATA_DIVISOR: usize = 8;
 
+/// Memory for the connection of a gateway: the buffers of HTTP/2 and a few calls.
+const GATEWAY_CONNECTION_BYTES: usize = 64 << 10;
+/// Share of the memory limit for the connections of gateways: one part in this many.
+const GATEWAY_DIVISOR: usize = 8;
+
 /// Limits on open connections and memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -14,6 +19,8 @@
     pub leaf_connections: usize,
     /// Number of client connections above which idle ones are closed.
     pub client_connections: usize,
+    /// Number of gateways among them above which idle ones are closed.
+    pub gateway_connections: usize,
     /// Maximum number of client connections that are idle after an answer.
     pub idle_client_connections: usize,
     /// Maximum size of the data that peers make the process hold, in bytes.
@@ -30,9 +37,11 @@
         let client_connections =
             (descriptors - leaf_connections).saturating_sub(RESERVED_DESCRIPTORS) * 9 / 10;
         let idle_client_connections = descriptors / 6;
+        let gateway_connections = memory_bytes / GATEWAY_DIVISOR / GATEWAY_CONNECTION_BYTES;
         Limits {
             leaf_connections: leaf_connections.max(1),
             client_connections: client_connections.max(1),
+            gateway_connections: gateway_connections.clamp(1, client_connections.max(1)),
             idle_client_connections: idle_client_connections.max(1),
             peer_data_bytes: memory_bytes / PEER_DATA_DIVISOR,
         }
@@ -44,6 +53,7 @@
         Limits {
             leaf_connections: per_process(self.leaf_connections),
             client_connections: per_process(self.client_connections),
+            gateway_connections: per_process(self.gateway_connections),
             idle_client_connections: per_process(self.idle_client_connections),
             peer_data_bytes: per_process(self.peer_data_bytes),
         }
@@ -52,6 +62,16 @@
     /// Maximum number of client connections open at once, including those that are being closed. Above
     /// `client_connections`, so that a further connection is accepted and an idle one closed for it.
     pub fn max_client_connections(self) -> usize {
-        self.client_connections + (self.client_connections / 9).max(1)
+        with_margin(self.client_connections)
+    }
+
+    /// Maximum number of gateways' connections open at once, including those that are being closed.
+    pub fn max_gateway_connections(self) -> usize {
+        with_margin(self.gateway_connections)
     }
 }
+
+/// A limit on connections with room for those that are being closed.
+fn with_margin(connections: usize) -> usize {
+    connections + (connections / 9).max(1)
+}
--- a/src/net/effects.rs
+++ b/src/net/effects.rs
@@ -1,7 +1,7 @@
 //! Carries out the aggregator's effects: sends replies to clients, messages to leaf connections and overrides to the
 //! store. It never blocks and takes no decisions.
 
-use super::client_listener::ClientCapacity;
+use super::client_listener::Capacities;
 use super::flight;
 use super::hot_restart::HotRestartHandle;
 use super::leaf_connection;
@@ -30,7 +30,7 @@
     leaf_connections: HashMap<ConnectionId, mpsc::Sender<LeafMessage>>,
     /// Dropped to stop accepting clients, one for each listener.
     stop_accepting: Vec<oneshot::Sender<()>>,
-    client_capacity: ClientCapacity,
+    capacities: Capacities,
     /// Admin calls that have not been answered yet.
     admin_calls: HashMap<AdminCallId, oneshot::Sender<AdminOutcome>>,
     next_admin_call: u64,
@@ -44,7 +44,7 @@
 /// The channels and handles through which an [`EffectDispatcher`] carries out effects.
 pub(super) struct EffectTargets {
     pub events: EventSender,
-    pub client_capacity: ClientCapacity,
+    pub capacities: Capacities,
     pub hot_restart: Option<HotRestartHandle>,
     pub ledger: Option<LedgerWriter>,
     pub inventory_paths: Vec<Arc<str>>,
@@ -59,7 +59,7 @@
             gateways: HashMap::new(),
             leaf_connections: HashMap::new(),
             stop_accepting: Vec::new(),
-            client_capacity: targets.client_capacity,
+            capacities: targets.capacities,
             admin_calls: HashMap::new(),
             next_admin_call: 0,
             hot_restart: targets.hot_restart,
@@ -175,7 +175,7 @@
     }
 
     fn set_limits(&mut self, limits: Limits) {
-        self.client_capacity.resize(limits.max_client_connections());
+        self.capacities.resize(limits);
         self.metrics.memory.set_limit(limits.peer_data_bytes);
     }
 
--- a/src/net/flight/call_tracker.rs
+++ b/src/net/flight/call_tracker.rs
@@ -1,22 +1,21 @@
-//! Tracks the calls of a gateway connection from the first byte of the request until the answer has been written to the
-//! socket, and bounds the time that a gateway may take to send a request and to read an answer.
+//! Tracks the calls of a gateway connection until their answers have been written to the socket, and bounds the time that a
+//! gateway may take to read an answer.
 
+use crate::net::memory::Reservation;
 use bytes::Bytes;
-use hyper::body::{Body as HttpBody, Frame, Incoming};
+use hyper::body::{Body as HttpBody, Frame};
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Sleep, sleep, timeout};
+use tokio::time::{Instant, timeout};
 use tonic::Status;
 use tonic::body::Body;
 use tracing::debug;
 
-/// Time within which a request must be complete, from its headers; the same as over HTTP/1.1.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time within which an answer must have been written; the same as over HTTP/1.1. An answer that the gateway has no window
 /// for stays in the connection's buffers.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -34,7 +33,7 @@
     open: usize,
     /// Whether a call has been answered.
     has_answered: bool,
-    /// Whether the gateway has not read an answer in time.
+    /// Whether the gateway has not sent a request, or not read an answer, in time.
     has_stalled: bool,
 }
 
@@ -47,6 +46,16 @@
     _written: oneshot::Sender<()>,
     /// Extensions of the response, among them the call itself.
     _call: http::Extensions,
+    /// Grows with the answer's data.
+    memory: Mutex<Reservation>,
+}
+
+impl UnwrittenAnswer {
+    fn add_data(&self, bytes: usize) {
+        let mut memory = self.memory.lock().unwrap_or_else(PoisonError::into_inner);
+        let total = memory.bytes() + bytes;
+        memory.force_resize(total);
+    }
 }
 
 impl CallTracker {
@@ -55,7 +64,12 @@
         self.activity.borrow().has_answered
     }
 
-    /// Waits until the gateway has failed to read an answer in time.
+    /// Records that the gateway has failed to send a request or to read an answer in time.
+    pub fn set_stalled(&self) {
+        self.activity.send_modify(|activity| activity.has_stalled = true);
+    }
+
+    /// Waits until the gateway has failed to send a request or to read an answer in time.
     pub async fn stalled(&self) {
         let _ = self.activity.subscribe().wait_for(|activity| activity.has_stalled).await;
     }
@@ -73,26 +87,32 @@
         }
     }
 
-    /// Makes a request fail unless it is complete in time.
-    pub fn track_request(request: http::Request<Incoming>) -> http::Request<TimedBody> {
-        request.map(|body| TimedBody { body, deadline: Box::pin(sleep(REQUEST_TIMEOUT)) })
-    }
-
-    /// Counts the call as open, and keeps its extensions, until its answer has been written.
-    pub fn track_answer(&self, mut response: http::Response<Body>) -> http::Response<Body> {
+    /// Counts the call as open, and keeps its extensions and its memory, until its answer has been written. An answer that
+    /// the gateway does not read is given up early if its memory is needed.
+    pub fn track_answer(
+        &self,
+        mut response: http::Response<Body>,
+        mut memory: Reservation,
+    ) -> http::Response<Body> {
         let (written, all_written) = oneshot::channel();
         let open = self.open();
-        let activity = self.activity.clone();
-        activity.send_modify(|activity| activity.has_answered = true);
+        let tracker = self.clone();
+        self.activity.send_modify(|activity| activity.has_answered = true);
+        memory.set_evictable(Some(Instant::now()));
+        let eviction = memory.eviction();
         spawn_local(async move {
-            if timeout(WRITE_TIMEOUT, all_written).await.is_err() {
+            let is_unread = tokio::select! {
+                written = timeout(WRITE_TIMEOUT, all_written) => written.is_err(),
+                () = eviction.evicted() => true,
+            };
+            if is_unread {
                 debug!("gateway has not read an answer in time");
-                activity.send_modify(|activity| activity.has_stalled = true);
+                tracker.set_stalled();
             }
             drop(open);
         });
         let call = std::mem::take(response.extensions_mut());
-        let answer = Arc::new(UnwrittenAnswer { _written: written, _call: call });
+        let answer = Arc::new(UnwrittenAnswer { _written: written, _call: call, memory: Mutex::new(memory) });
         response.map(|body| Body::new(TrackedBody { body, answer }))
     }
 
@@ -118,32 +138,6 @@
     }
 }
 
-/// A request body that fails unless it is complete in time.
-pub(super) struct TimedBody {
-    body: Incoming,
-    deadline: Pin<Box<Sleep>>,
-}
-
-impl HttpBody for TimedBody {
-    type Data = Bytes;
-    type Error = Status;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Status>>> {
-        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
-            return Poll::Ready(frame.map(|frame| frame.map_err(|error| Status::unknown(error.to_string()))));
-        }
-        ready!(self.deadline.as_mut().poll(context));
-        Poll::Ready(Some(Err(Status::deadline_exceeded("the request is not complete"))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-}
-
 /// The body of an answer, whose data keeps the call open until the connection has written and dropped it.
 struct TrackedBody {
     body: Body,
@@ -171,7 +165,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Status>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        let track = |data| Bytes::from_owner(TrackedData { data, _answer: self.answer.clone() });
+        let track = |data: Bytes| {
+            self.answer.add_data(data.len());
+            Bytes::from_owner(TrackedData { data, _answer: self.answer.clone() })
+        };
         Poll::Ready(frame.map(|frame| frame.map(|frame| frame.map_data(track))))
     }
 
--- a/src/net/flight/mod.rs
+++ b/src/net/flight/mod.rs
@@ -2,6 +2,7 @@
 //! that return the answer to a part as a stream.
 
 mod answer;
+mod call_request;
 mod call_tracker;
 pub(super) mod gateway;
 mod http2_channel;
--- a/src/net/http/listener.rs
+++ b/src/net/http/listener.rs
@@ -2,11 +2,11 @@
 
 use super::session;
 use crate::aggregator::ClientId;
-use crate::net::client_listener::SessionStarter;
+use crate::net::client_listener::{ConnectionPermit, SessionStarter};
 use crate::net::messages::{CLIENT_QUEUE_LENGTH, EventSender};
 use crate::net::metrics::NetMetrics;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 
 /// Numbers the HTTP connections and starts their sessions.
 pub(crate) struct HttpSessions {
@@ -22,7 +22,7 @@
 }
 
 impl SessionStarter for HttpSessions {
-    async fn start_session(&mut self, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    async fn start_session(&mut self, stream: TcpStream, permit: ConnectionPermit) {
         let client = ClientId(self.next_client_id);
         self.next_client_id += 1;
         let (sender, messages) = mpsc::channel(CLIENT_QUEUE_LENGTH);
--- a/src/net/memory/budget.rs
+++ b/src/net/memory/budget.rs
@@ -191,6 +191,11 @@
 }
 
 impl Reservation {
+    /// The number of reserved bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Changes the number of reserved bytes.
     ///
     /// # Errors
--- a/src/net/memory/mod.rs
+++ b/src/net/memory/mod.rs
@@ -6,5 +6,5 @@
 mod budget;
 mod buffer;
 
-pub(super) use budget::{Eviction, MemoryBudget};
+pub(super) use budget::{Eviction, MemoryBudget, MemoryExhausted, Reservation};
 pub(super) use buffer::{BudgetedBuffer, ReadError};
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,7 +2,7 @@
 //! event loop until the aggregator exits.
 
 use super::admin::{self, ADMIN_QUEUE_LENGTH, AdminRequest};
-use super::client_listener::{ClientCapacity, SessionStarter, accept_clients};
+use super::client_listener::{Capacities, ListenerCapacity, SessionStarter, accept_clients};
 use super::discovery_watch::{DiscoveryWatchContext, DiscoveryWatchHandle};
 use super::effects::{EffectDispatcher, EffectTargets};
 use super::event_loop::{EventLoop, Signals};
@@ -27,7 +27,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tracing::{debug, error, info};
 
 /// Runs the aggregator until it has shut down gracefully. `sailmux run` calls it.
@@ -73,12 +73,12 @@
         }
         None => None,
     };
-    let client_capacity = ClientCapacity::new(limits.max_client_connections());
-    let client_permits = client_capacity.permits();
+    let capacities = Capacities::new(limits);
+    let (http_capacity, flight_capacity) = (capacities.http(), capacities.flight());
     let metrics = NetMetrics::new(limits.peer_data_bytes);
     let effects = EffectDispatcher::new(EffectTargets {
         events: events.clone(),
-        client_capacity,
+        capacities,
         hot_restart,
         ledger,
         inventory_paths: inventory_paths(inventory.as_ref()),
@@ -101,14 +101,14 @@
         DiscoveryStart { address: config.discovery, initial_list: config.known_endpoints, seed: config.seed };
     start_endpoint_sources(&mut event_loop, &events, inventory, discovery)?;
     let http = HttpSessions::new(events.clone(), metrics.clone());
-    start_listener(&mut event_loop, listener, http, &events, &client_permits);
+    start_listener(&mut event_loop, listener, http, &events, http_capacity);
     info!("sailmux {}: serving on {address}", event_loop.name);
     if let Some(address) = flight_listen {
         let listener = TcpListener::bind(address).await?;
         info!("sailmux {}: Flight server on {}", event_loop.name, listener.local_addr()?);
-        let gateways = GatewaySessions::new(events.clone());
+        let gateways = GatewaySessions::new(events.clone(), metrics.memory);
         event_loop.state.add_listener();
-        start_listener(&mut event_loop, listener, gateways, &events, &client_permits);
+        start_listener(&mut event_loop, listener, gateways, &events, flight_capacity);
     }
     Ok(event_loop)
 }
@@ -119,11 +119,11 @@
     listener: TcpListener,
     sessions: impl SessionStarter + 'static,
     events: &EventSender,
-    permits: &Arc<Semaphore>,
+    capacity: ListenerCapacity,
 ) {
     let (stop, stopped) = oneshot::channel();
     event_loop.effects.add_listener(stop);
-    tokio::task::spawn_local(accept_clients(listener, sessions, events.clone(), permits.clone(), stopped));
+    tokio::task::spawn_local(accept_clients(listener, sessions, events.clone(), capacity, stopped));
 }
 
 /// The overrides that were stored before this process started, and the handle that stores further ones.
--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -30,12 +30,15 @@
     reduce(state, now, Event::EndpointSourceChanged { input, wall_clock_offset: 0.0 })
 }
 
+/// Memory in bytes that limits no connections.
+const AMPLE_MEMORY: usize = 1 << 30;
+
 /// An aggregator with the given leaf servers and configuration.
 fn aggregator_with_config(servers: &str, config: &str) -> State {
     let path = scratch_dir("aggregator").join("config.json");
     std::fs::write(&path, config).expect("the configuration can be written");
     let settings = Config::from_file(&path).expect("a valid configuration").settings;
-    let limits = Limits::new(1024, 192_000_000);
+    let limits = Limits::new(1024, AMPLE_MEMORY);
     let mut state = State::new(settings, limits, 7, GuardSettings::default()).expect("valid settings");
     let files = vec![inventory_list(servers)];
     change_endpoints(&mut state, START, Input::Started { initial_list: None, files });
@@ -381,7 +384,7 @@
 fn calls_of_a_gateway_count_as_one_connection() {
     // Guards against a gateway with many calls whose aggregator closes the connections of other clients.
     let mut state = aggregator();
-    let limit = Limits::new(1024, 192_000_000).client_connections as u64;
+    let limit = Limits::new(1024, AMPLE_MEMORY).client_connections as u64;
     reduce(&mut state, START, Event::GatewayOpened(GatewayId(0)));
     for call in 0..limit {
         let event = Event::CallOpened { call: ClientId((1 << 63) + call), gateway: GatewayId(0) };
@@ -399,7 +402,7 @@
 fn idle_gateways_are_closed_when_a_sibling_process_takes_half_of_the_limits() {
     // Guards against idle gateways that keep all capacity after a reload or hot restart has reduced it.
     let mut state = aggregator();
-    let limit = Limits::new(1024, 192_000_000).client_connections as u64;
+    let limit = Limits::new(1024, AMPLE_MEMORY).client_connections as u64;
     for gateway in 0..limit {
         reduce(&mut state, START + gateway as f64, Event::GatewayOpened(GatewayId(gateway)));
     }
@@ -411,11 +414,30 @@
     assert_eq!(closed_gateways(&effects), longest_idle);
 }
 
+#[test]
+fn idle_gateways_beyond_the_memory_for_their_connections_are_closed() {
+    // Guards against gateways' buffers that exceed the memory limit while descriptors are left.
+    let limits = Limits::new(1024, 32_000_000);
+    assert!(limits.gateway_connections < limits.client_connections / 2);
+    let mut state = aggregator();
+    let settings = Box::new(state.settings().clone());
+    reduce(&mut state, START, Event::SettingsReloaded(settings, limits));
+    let limit = limits.gateway_connections as u64;
+    for gateway in 0..limit {
+        let effects = reduce(&mut state, START + gateway as f64, Event::GatewayOpened(GatewayId(gateway)));
+        assert!(closed_gateways(&effects).is_empty(), "{gateway} of {limit}");
+    }
+    let client_effects = reduce(&mut state, START + 1000.0, Event::ClientOpened(ClientId(1)));
+    assert!(client_effects.is_empty(), "HTTP clients are not counted: {client_effects:?}");
+    let effects = reduce(&mut state, START + 1000.0, Event::GatewayOpened(GatewayId(limit)));
+    assert_eq!(closed_gateways(&effects), [0], "the longest idle gateway");
+}
+
 #[test]
 fn a_gateway_that_has_just_connected_is_not_told_to_leave() {
     // Guards against a gateway that connects again and again while all others have calls in flight.
     let mut state = aggregator();
-    let limit = Limits::new(1024, 192_000_000).client_connections as u64;
+    let limit = Limits::new(1024, AMPLE_MEMORY).client_connections as u64;
     for gateway in 0..limit {
         reduce(&mut state, START, Event::GatewayOpened(GatewayId(gateway)));
         let call = ClientId((1 << 63) + gateway);
