Cancel the timers of ended queries, and bound what the retry budget keeps for each

Callers saw: memory grew with each small query of a fast client (2,780 kB for 20,000 queries with a deadline of 60 s) until its deadline, and each new attempt summed over all of them.

Cause: the timers for a query's deadline and for an attempt's timeouts stayed until they were due, however early both had ended; the retry budget kept an entry for each query, part and attempt of the longest objective and added them up each time.

Change: a query and an attempt cancel their timers when they are removed. SlidingCount keeps running totals, so that a window is a binary search; events of the same time share an entry, and above 8,192 entries those of the same millisecond do. They count as of the first, within the granularity that the budget already leaves as a margin.

--- a/src/aggregator/attempts.rs
+++ b/src/aggregator/attempts.rs
@@ -163,6 +163,10 @@
 
     pub(super) fn remove_attempt(&mut self, id: AttemptId) {
         let Some(attempt) = self.state.attempts.remove(&id) else { return };
+        self.state.timers.cancel(attempt.timeout_at, Timer::AttemptTimeout(id));
+        if let Some(send_by) = attempt.send_by {
+            self.state.timers.cancel(send_by, Timer::SendDeadline(id));
+        }
         let connection = match attempt.stage {
             AttemptStage::Waiting => return,
             AttemptStage::Queued { connection }
--- a/src/aggregator/queries.rs
+++ b/src/aggregator/queries.rs
@@ -56,6 +56,7 @@
             payload: new.payload,
             idempotency_key: new.idempotency_key,
             parts: parts.iter().map(|part| part.part).collect(),
+            deadline_at: self.now + time_left,
         };
         state.queries.insert(query, record);
         if let Some(client) = state.clients.get_mut(&client) {
@@ -138,8 +139,9 @@
 
     /// Removes a query and its attempts that were not passed to a writer. The other attempts remain until they end or
     /// the balancer cancels them.
-    pub(super) fn remove_query(&mut self, query: QueryId) {
-        let Some(query) = self.state.queries.remove(&query) else { return };
+    pub(super) fn remove_query(&mut self, id: QueryId) {
+        let Some(query) = self.state.queries.remove(&id) else { return };
+        self.state.timers.cancel(query.deadline_at, Timer::QueryDeadline(id));
         self.state.request_ids.remove(&query.request_id);
         for part in query.parts {
             let Some(record) = self.state.parts.get(&part) else { continue };
--- a/src/aggregator/records.rs
+++ b/src/aggregator/records.rs
@@ -58,6 +58,8 @@
     pub payload: Bytes,
     pub idempotency_key: Option<Arc<str>>,
     pub parts: Vec<PartId>,
+    /// Due time of its [`Timer::QueryDeadline`](super::timer::Timer::QueryDeadline).
+    pub deadline_at: Millis,
 }
 
 /// A part of a query. The record is kept until the query and all attempts of the part have ended.
--- a/src/aggregator/timer.rs
+++ b/src/aggregator/timer.rs
@@ -42,6 +42,12 @@
         self.0.insert((due_at.into(), timer));
     }
 
+    /// Cancels a timer that has been set for this time. Without it, the timers of queries that have ended would accumulate
+    /// until they are due.
+    pub fn cancel(&mut self, due_at: Millis, timer: Timer) {
+        self.0.remove(&(due_at.into(), timer));
+    }
+
     /// Due time of the first timer; `None` if no timer is set.
     pub fn next_due(&self) -> Option<Millis> {
         self.0.first().map(|(due_at, _)| due_at.millis())
--- a/src/balancer/statistics.rs
+++ b/src/balancer/statistics.rs
@@ -143,26 +143,44 @@
 
 /// Counts of events, which can be summed over sliding windows.
 #[derive(Default)]
-pub(super) struct SlidingCount(VecDeque<CountAt>);
+pub(super) struct SlidingCount {
+    /// Oldest first.
+    entries: VecDeque<CountAt>,
+    /// Number of all events so far.
+    total: f64,
+}
 
 struct CountAt {
     at: Millis,
-    count: f64,
+    /// Number of events before these.
+    earlier: f64,
 }
 
+/// Number of entries from which events that follow each other closely share one. Bounds the memory under a flood.
+const DENSE_ENTRIES: usize = 8192;
+/// The time for which events share an entry then. They count as of the first, so a window may count a few too little.
+const DENSE_INTERVAL: Millis = 1.0;
+
 impl SlidingCount {
     pub fn add(&mut self, at: Millis, count: usize) {
-        self.0.push_back(CountAt { at, count: count as f64 });
+        let is_shared = self.entries.back().is_some_and(|last| {
+            last.at == at || self.entries.len() >= DENSE_ENTRIES && at - last.at < DENSE_INTERVAL
+        });
+        if !is_shared {
+            self.entries.push_back(CountAt { at, earlier: self.total });
+        }
+        self.total += count as f64;
     }
 
     /// The number of events at or after a time.
     pub fn since(&self, start: Millis) -> f64 {
-        self.0.iter().rev().take_while(|entry| entry.at >= start).map(|entry| entry.count).sum()
+        let first = self.entries.partition_point(|entry| entry.at < start);
+        self.entries.get(first).map_or(0.0, |entry| self.total - entry.earlier)
     }
 
     pub fn remove_before(&mut self, start: Millis) {
-        while self.0.front().is_some_and(|entry| entry.at < start) {
-            self.0.pop_front();
+        while self.entries.front().is_some_and(|entry| entry.at < start) {
+            self.entries.pop_front();
         }
     }
 }
