Bound what discovery can make the process keep: names, values, changes and absent servers

Cause: a line was bounded as text (4 MiB), not as a tree of values; names had no bound; servers that had left the list were kept for a slow-start window however many there were, and each list went over all of them; the history kept 100,000 changes.

Change: a line has at most a sixteenth of the memory limit, one value for 512 bytes of it, and 16 levels, which the scanner checks before the line is parsed; a name, address or zone has 256 bytes. Beside the listed leaf servers twice as many absent ones are kept, 1,000 at least, those absent for longest are dropped first.

--- a/src/aggregator/endpoint_updates.rs
+++ b/src/aggregator/endpoint_updates.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::config;
 use crate::endpoints::{AuditEvent, Endpoint, EndpointList, EndpointState, Input, Output};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
 /// Leaf servers that are changed by a new endpoint list.
 #[derive(Default)]
@@ -168,6 +168,11 @@
             let is_recent = server.removed_at.is_none_or(|removed_at| self.now - removed_at < retention);
             is_recent || connections.values().any(|connection| connection.replica == *replica)
         });
+        for replica in removed_beyond_limit(leaf_servers) {
+            if !connections.values().any(|connection| connection.replica == replica) {
+                leaf_servers.remove(&replica);
+            }
+        }
         let purged = count_before - leaf_servers.len();
         if purged > 0 {
             counters.leaf_servers_forgotten += purged as u64;
@@ -176,6 +181,16 @@
     }
 }
 
+/// The leaf servers that were removed longest ago, if there are too many of them beside the listed ones.
+fn removed_beyond_limit(leaf_servers: &BTreeMap<ReplicaId, LeafServer>) -> Vec<ReplicaId> {
+    let removed = leaf_servers.iter().filter_map(|(replica, server)| Some((server.removed_at?, *replica)));
+    let mut removed: Vec<(Millis, ReplicaId)> = removed.collect();
+    let limit = balancer::max_departed_replicas(leaf_servers.len() - removed.len());
+    let excess = removed.len().saturating_sub(limit);
+    removed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    removed.into_iter().take(excess).map(|(_, replica)| replica).collect()
+}
+
 fn replica_state(state: EndpointState) -> ReplicaState {
     match state {
         EndpointState::Ready => ReplicaState::Up,
--- a/src/balancer/endpoint_set.rs
+++ b/src/balancer/endpoint_set.rs
@@ -112,7 +112,29 @@
             replica.down_since = if replica.is_up { None } else { replica.down_since.or(Some(now)) };
             replica.down_since.is_none_or(|since| now - since < after) || !replica.calls.is_empty()
         });
+        self.remove_departed_beyond_limit();
     }
+
+    /// Removes the replicas that have been absent for longest, if there are too many of them.
+    fn remove_departed_beyond_limit(&mut self) {
+        let departed = self.replicas.iter().filter_map(|(id, replica)| Some((replica.down_since?, *id)));
+        let mut departed: Vec<(Millis, ReplicaId)> = departed.collect();
+        let limit = max_departed_replicas(self.replicas.len() - departed.len());
+        let excess = departed.len().saturating_sub(limit);
+        departed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        for (_, id) in departed.into_iter().take(excess) {
+            if self.replicas.get(&id).is_some_and(|replica| replica.calls.is_empty()) {
+                self.replicas.remove(&id);
+            }
+        }
+    }
+}
+
+/// Number of absent replicas that are remembered beside `listed` ones, so that those that return keep their statistics and
+/// lists that always bring new names do not accumulate.
+pub fn max_departed_replicas(listed: usize) -> usize {
+    const MIN_DEPARTED_REPLICAS: usize = 1000;
+    (2 * listed).max(MIN_DEPARTED_REPLICAS)
 }
 
 /// Applies one entry of the endpoint list. `is_incremental_update`: the entry is a change to a list that has already
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -47,6 +47,7 @@
 mod sweep;
 
 pub use action::{Action, LogEvent};
+pub use endpoint_set::max_departed_replicas;
 pub use event::{Event, LoadReport, Outcome, PartSpec, ReplicaEntry, ReplicaState};
 pub use id::{Millis, PartId, QueryId, ReplicaId};
 pub use rejection::RejectReason;
--- a/src/config/endpoint_list.rs
+++ b/src/config/endpoint_list.rs
@@ -3,6 +3,10 @@
 
 use crate::endpoints::{Endpoint, EndpointList, EndpointState};
 use crate::json::{Field, FieldError};
+use std::sync::Arc;
+
+/// Maximum length of a name or address.
+const MAX_TEXT_BYTES: usize = 256;
 
 /// Parses an endpoint list in discovery's JSON format.
 ///
@@ -20,9 +24,9 @@
 
 fn parse_endpoint(instance: &Field<'_>) -> Result<Endpoint, FieldError> {
     Ok(Endpoint {
-        name: instance.get("instanceId").as_str()?.into(),
-        address: instance.get("hostPort").as_str()?.into(),
-        zone: instance.get("zone").str_or("")?.into(),
+        name: short_text(&instance.get("instanceId"), instance.get("instanceId").as_str()?)?,
+        address: short_text(&instance.get("hostPort"), instance.get("hostPort").as_str()?)?,
+        zone: short_text(&instance.get("zone"), instance.get("zone").str_or("")?)?,
         cell: instance.get("cell").u32_or(0)?,
         weight: instance.get("weight").f64_or(1.0)?,
         state: parse_state(&instance.get("lifecycle"))?,
@@ -30,6 +34,14 @@
     })
 }
 
+/// A text that is kept with the endpoint.
+fn short_text(field: &Field<'_>, text: &str) -> Result<Arc<str>, FieldError> {
+    if text.len() > MAX_TEXT_BYTES {
+        return field.report(field.error(format!("is longer than {MAX_TEXT_BYTES} bytes")), "".into());
+    }
+    Ok(text.into())
+}
+
 fn parse_state(lifecycle: &Field<'_>) -> Result<EndpointState, FieldError> {
     match lifecycle.as_str()? {
         "Ready" => Ok(EndpointState::Ready),
--- a/src/endpoints/history.rs
+++ b/src/endpoints/history.rs
@@ -8,7 +8,7 @@
 /// Maximum number of versions kept.
 const MAX_VERSIONS: usize = 64;
 /// Maximum number of changes kept over all versions; bounds memory use where large lists are replaced often.
-const MAX_CHANGES: usize = 100_000;
+const MAX_CHANGES: usize = 10_000;
 
 /// The difference of one endpoint between two versions.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/json.rs
+++ b/src/json.rs
@@ -286,6 +286,33 @@
     UnterminatedString,
     /// Something other than whitespace precedes the object.
     NotAnObject,
+    /// Values are nested too deeply.
+    TooDeep,
+    /// The object has too many values.
+    TooManyValues,
+}
+
+/// Bounds on an object, whose parsed form takes far more memory than its text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ScanLimits {
+    /// Maximum depth of nested objects and lists.
+    pub depth: u32,
+    /// Maximum number of values.
+    pub values: usize,
+}
+
+impl Default for ScanLimits {
+    /// No limits.
+    fn default() -> Self {
+        ScanLimits { depth: u32::MAX, values: usize::MAX }
+    }
+}
+
+impl Default for ObjectScanner {
+    /// A scanner without limits.
+    fn default() -> Self {
+        ObjectScanner::new(ScanLimits::default())
+    }
 }
 
 impl fmt::Display for ScanError {
@@ -293,6 +320,8 @@
         f.write_str(match self {
             ScanError::UnterminatedString => "a line ends inside a string",
             ScanError::NotAnObject => "a line is not a JSON object",
+            ScanError::TooDeep => "values are nested too deeply",
+            ScanError::TooManyValues => "an object has too many values",
         })
     }
 }
@@ -300,17 +329,27 @@
 impl std::error::Error for ScanError {}
 
 /// Finds the end of a JSON object that arrives in pieces and may extend over several lines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ObjectScanner {
+    limits: ScanLimits,
     /// Bytes scanned so far.
     scanned: usize,
     /// Number of objects that are open.
     depth: u32,
+    /// Number of lists that are open.
+    lists: u32,
+    /// Number of values, counted by the characters before and between them.
+    values: usize,
     in_string: bool,
     escaped: bool,
 }
 
 impl ObjectScanner {
+    /// A scanner for one object.
+    pub fn new(limits: ScanLimits) -> Self {
+        ObjectScanner { limits, scanned: 0, depth: 0, lists: 0, values: 0, in_string: false, escaped: false }
+    }
+
     /// Whether no object has started in the bytes scanned so far.
     pub fn is_before_object(&self) -> bool {
         self.depth == 0
@@ -320,10 +359,13 @@
     /// `None` while the object is incomplete. Only whitespace may precede the object.
     ///
     /// # Errors
-    /// The body contains something other than an object.
+    /// The body contains something other than an object, or an object beyond the limits.
     pub fn find_end(&mut self, body: &[u8]) -> Result<Option<usize>, ScanError> {
         while let Some(byte) = body.get(self.scanned) {
             self.scanned += 1;
+            if !self.in_string && !self.escaped {
+                self.count_value(*byte)?;
+            }
             match byte {
                 _ if self.escaped => self.escaped = false,
                 b'\n' if self.in_string => return Err(ScanError::UnterminatedString),
@@ -339,4 +381,20 @@
         }
         Ok(None)
     }
+
+    fn count_value(&mut self, byte: u8) -> Result<(), ScanError> {
+        match byte {
+            b'[' => self.lists += 1,
+            b']' => self.lists = self.lists.saturating_sub(1),
+            _ => {}
+        }
+        self.values += usize::from(matches!(byte, b'{' | b'[' | b',' | b':'));
+        if self.depth + self.lists > self.limits.depth {
+            return Err(ScanError::TooDeep);
+        }
+        if self.values > self.limits.values {
+            return Err(ScanError::TooManyValues);
+        }
+        Ok(())
+    }
 }
--- a/src/net/discovery_watch/mod.rs
+++ b/src/net/discovery_watch/mod.rs
@@ -10,7 +10,7 @@
 use crate::config::PlatformSettings;
 use crate::endpoints::{DiscoveryTiming, EndpointList};
 use bytes::BytesMut;
-use response::{BodyReader, MalformedResponse};
+use response::{BodyReader, ListLimits, MalformedResponse};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,6 +39,8 @@
     pub seed: u64,
     pub events: EventSender,
     pub clock: Rc<Clock>,
+    /// Maximum resident memory of the process, which bounds what a list may need.
+    pub max_memory_bytes: usize,
 }
 
 /// Handle of a running watch, which ends when the handle is dropped.
@@ -87,6 +89,7 @@
             timing,
             events: self.events.clone(),
             clock: self.clock.clone(),
+            limits: ListLimits::for_memory(self.max_memory_bytes),
         };
         tokio::task::spawn_local(async move {
             let Err(AggregatorStopped) = watch.run().await;
@@ -159,6 +162,7 @@
     timing: DiscoveryTiming,
     events: EventSender,
     clock: Rc<Clock>,
+    limits: ListLimits,
 }
 
 impl DiscoveryWatch {
@@ -192,7 +196,7 @@
         // One deadline for the complete head: an overloaded discovery service may trickle.
         let deadline = Instant::now() + to_duration(self.timing.response_timeout());
         let decoder = read_head(&mut stream, &mut raw, deadline).await?;
-        let mut body = BodyReader::new(decoder);
+        let mut body = BodyReader::new(decoder, self.limits);
         let mut line_started_at: Option<Instant> = None;
         loop {
             let state = body.decode(&mut raw)?;
--- a/src/net/discovery_watch/response.rs
+++ b/src/net/discovery_watch/response.rs
@@ -2,14 +2,20 @@
 
 use crate::config::parse_endpoint_list;
 use crate::endpoints::EndpointList;
-use crate::json::{Field, FieldError, ObjectScanner, ScanError};
+use crate::json::{Field, FieldError, ObjectScanner, ScanError, ScanLimits};
 use crate::net::chunked::{BodyState, ChunkDecoder, MalformedChunk};
 use bytes::{Buf, BytesMut};
 use miniserde::json::Value;
 use std::fmt;
 
-/// Maximum length of a line, against a response that never ends one.
+/// Maximum length of a line, where memory is ample.
 const MAX_LINE_BYTES: usize = 4 << 20;
+/// Share of the memory limit that a line may have: one part in this many.
+const LINE_DIVISOR: usize = 16;
+/// Memory of the process for each value that a line may have.
+const MEMORY_PER_VALUE_BYTES: usize = 512;
+/// Maximum depth of nested values; endpoint lists have three levels.
+const MAX_DEPTH: u32 = 16;
 /// Maximum length of a response head.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of headers of a response.
@@ -50,13 +56,31 @@
     /// `None` if the body is not chunked: it then ends with the connection.
     decoder: Option<ChunkDecoder>,
     body: Vec<u8>,
+    limits: ListLimits,
     object: ObjectScanner,
 }
 
+/// Bounds on one line of a response.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ListLimits {
+    line_bytes: usize,
+    scan: ScanLimits,
+}
+
+impl ListLimits {
+    /// The bounds for a process that may use this much memory.
+    pub fn for_memory(memory_bytes: usize) -> Self {
+        ListLimits {
+            line_bytes: (memory_bytes / LINE_DIVISOR).min(MAX_LINE_BYTES),
+            scan: ScanLimits { depth: MAX_DEPTH, values: memory_bytes / MEMORY_PER_VALUE_BYTES },
+        }
+    }
+}
+
 impl BodyReader {
     /// Creates a reader; `decoder` is `None` if the body is not chunked.
-    pub fn new(decoder: Option<ChunkDecoder>) -> Self {
-        BodyReader { decoder, body: Vec::new(), object: ObjectScanner::default() }
+    pub fn new(decoder: Option<ChunkDecoder>, limits: ListLimits) -> Self {
+        BodyReader { decoder, body: Vec::new(), limits, object: ObjectScanner::new(limits.scan) }
     }
 
     /// Whether the body received so far ends between two lists.
@@ -67,9 +91,9 @@
     /// Checks the length of the line that has begun.
     ///
     /// # Errors
-    /// The line is longer than [`MAX_LINE_BYTES`].
+    /// The line is too long.
     pub fn check_line_length(&self) -> Result<(), MalformedResponse> {
-        if self.body.len() > MAX_LINE_BYTES { Err(MalformedResponse::LineTooLong) } else { Ok(()) }
+        if self.body.len() > self.limits.line_bytes { Err(MalformedResponse::LineTooLong) } else { Ok(()) }
     }
 
     /// Decodes received bytes and appends them to the body.
@@ -98,7 +122,7 @@
         };
         let list = parse_list(&self.body[..end])?;
         self.body.drain(..end);
-        self.object = ObjectScanner::default();
+        self.object = ObjectScanner::new(self.limits.scan);
         Ok(Some(list))
     }
 
@@ -108,7 +132,7 @@
             return false;
         }
         let skipped_any = !self.body.is_empty();
-        self.object = ObjectScanner::default();
+        self.object = ObjectScanner::new(self.limits.scan);
         self.body = Vec::new();
         skipped_any
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -97,22 +97,38 @@
     };
     let digest = snapshot::digest(&overrides);
     let _ = event_loop.handle(Event::OverridesLoaded(overrides, digest));
-    let discovery =
-        DiscoveryStart { address: config.discovery, initial_list: config.known_endpoints, seed: config.seed };
+    let discovery = DiscoveryStart {
+        address: config.discovery,
+        initial_list: config.known_endpoints,
+        seed: config.seed,
+        max_memory_bytes: config.max_memory_bytes,
+    };
     start_endpoint_sources(&mut event_loop, &events, inventory, discovery)?;
     let http = HttpSessions::new(events.clone(), metrics.clone());
     start_listener(&mut event_loop, listener, http, &events, http_capacity);
     info!("sailmux {}: serving on {address}", event_loop.name);
     if let Some(address) = flight_listen {
-        let listener = TcpListener::bind(address).await?;
-        info!("sailmux {}: Flight server on {}", event_loop.name, listener.local_addr()?);
         let gateways = GatewaySessions::new(events.clone(), metrics.memory);
-        event_loop.state.add_listener();
-        start_listener(&mut event_loop, listener, gateways, &events, flight_capacity);
+        start_flight(&mut event_loop, address, gateways, &events, flight_capacity).await?;
     }
     Ok(event_loop)
 }
 
+/// Binds the Flight server's address and accepts gateways on it.
+async fn start_flight(
+    event_loop: &mut EventLoop,
+    address: SocketAddr,
+    gateways: GatewaySessions,
+    events: &EventSender,
+    capacity: ListenerCapacity,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    info!("sailmux {}: Flight server on {}", event_loop.name, listener.local_addr()?);
+    event_loop.state.add_listener();
+    start_listener(event_loop, listener, gateways, events, capacity);
+    Ok(())
+}
+
 /// Accepts clients of one protocol until the aggregator stops accepting.
 fn start_listener(
     event_loop: &mut EventLoop,
@@ -172,6 +188,7 @@
     /// The initial endpoint list, from the configuration; in force until discovery sends a newer one.
     initial_list: EndpointList,
     seed: u64,
+    max_memory_bytes: usize,
 }
 
 /// Passes the initial endpoint lists to the aggregator and watches their sources. Inventory files replace discovery
@@ -199,6 +216,7 @@
             seed: discovery.seed,
             events: events.clone(),
             clock: event_loop.clock.clone(),
+            max_memory_bytes: discovery.max_memory_bytes,
         };
         let watch = DiscoveryWatchHandle::start(discovery.address, context, event_loop.state.settings());
         event_loop.discovery_watch = Some(watch);
