Add failing tests: a close behind unread data, and request ids that come again

A client that closes with 1 MB unread is noticed after 3.0 s, when its attempt has timed out; a request id is forwarded again after its client has left, and at the second process of a hot restart.

--- a/tests/common/process/client.rs
+++ b/tests/common/process/client.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 /// A response of the aggregator.
 #[derive(Debug)]
@@ -60,6 +61,18 @@
         self.stream.get_mut().write_all(bytes.as_ref()).expect("the aggregator reads");
     }
 
+    /// A second handle to the same connection.
+    pub fn try_clone(&self) -> Self {
+        Client { stream: BufReader::new(self.stream.get_ref().try_clone().expect("cloned")) }
+    }
+
+    /// Sends until all is sent, or until nothing more has been accepted for a while.
+    pub fn send_as_much_as_possible(&mut self, bytes: &[u8]) {
+        let stream = self.stream.get_mut();
+        stream.set_write_timeout(Some(Duration::from_millis(300))).expect("set");
+        let _ = stream.write_all(bytes);
+    }
+
     pub fn request(&mut self, bytes: impl AsRef<[u8]>) -> Response {
         self.send(bytes);
         self.response()
--- a/tests/endings/client_disconnects.rs
+++ b/tests/endings/client_disconnects.rs
@@ -30,6 +30,29 @@
     }
 }
 
+/// Guards against a client whose close is not noticed because it is behind more unread requests than the aggregator keeps, so
+/// that its query is retried after it has left.
+#[test]
+fn a_disconnect_behind_much_unread_data_is_detected() {
+    const UNREAD_BYTES: usize = 1 << 20;
+    let leaf_server = LeafServer::new();
+    let aggregator = with_leaf_server(&leaf_server).start();
+    let mut client = Client::connect(aggregator.address);
+    client.send(query("q0", "9000m", &[0]));
+    let mut connection = leaf_server.accept();
+    assert_eq!(connection.next_part(), "q0.0");
+    let pipelined: String = (1..UNREAD_BYTES / 200).map(|i| query(&format!("q{i}"), "9000m", &[0])).collect();
+    client.send_as_much_as_possible(pipelined.as_bytes());
+    drop(client);
+    let disconnected_at = Instant::now();
+    assert_eq!(connection.next_frame(), Some(('n', "q0.0".to_owned())));
+    let elapsed = disconnected_at.elapsed();
+    assert!(elapsed < Duration::from_millis(1500), "detected after {elapsed:?}");
+    aggregator.wait_for_counter("clients_gone", 1);
+    assert_serves(&aggregator, &mut connection, "next");
+    assert_eq!(aggregator.counters()["attempts_sent"], 2, "no pipelined request was forwarded");
+}
+
 /// Requests that are read only after their clients have disconnected are not forwarded.
 #[test]
 fn a_request_read_after_its_client_disconnected_is_not_forwarded() {
--- a/tests/operational_faults.rs
+++ b/tests/operational_faults.rs
@@ -285,3 +285,41 @@
     }
     assert_eq!(a.count(), count_while_disabled);
 }
+
+/// Guards against a query that runs twice because its id comes again at the other process of a hot restart: while it is in
+/// flight in the old one, after its client has left, and after the old process has exited.
+#[test]
+fn a_request_id_does_not_run_again_at_the_other_process_of_a_hot_restart() {
+    let leaf_server = LeafServer::new();
+    let setup = Setup::new(&[listed_endpoint("a", leaf_server.address, 0)]);
+    let port = shared_port();
+    let setup = setup.shared(&port);
+    let mut old = setup.start();
+    wait_until_ready(&mut old);
+    let mut in_flight = Client::connect(old.address);
+    in_flight.send(query("in-flight", "9000m", &[0]));
+    let mut connection = leaf_server.accept();
+    assert_eq!(connection.next_part(), "in-flight.0");
+    let mut leaving = Client::connect(old.address);
+    leaving.send(query("left", "9000m", &[0]));
+    assert_eq!(connection.next_part(), "left.0");
+    drop(leaving);
+    assert_eq!(connection.next_frame(), Some(('n', "left.0".to_owned())));
+    let mut new = setup.start();
+    wait_until_ready(&mut new);
+    old.wait_for_log("others=1 ready=true");
+    let ids = ["in-flight", "left"];
+    // The kernel gives each connection to one of the two processes.
+    for id in ids.repeat(20) {
+        assert_eq!(query_status(&new, id), 400, "{id} beside the old process");
+    }
+    old.signal("-TERM");
+    old.wait_for_log("to=\"hot restarting\"");
+    connection.answer("in-flight.0", "good", "v");
+    assert_eq!(in_flight.response().status, 200);
+    old.wait_for_exit();
+    for id in ids {
+        assert_eq!(query_status(&new, id), 400, "{id} after the exit of the old process");
+    }
+    assert_eq!(new.counters()["attempts_sent"], 0);
+}
