Notice a client's close behind any amount of unread data

Cause: while a request is served, at most 16 KiB of further requests were read, and beyond that only the connection's state was looked at. The close is a FIN behind the data that the client's machine still has to send, and with a full receive window that data never comes.

Change: up to 80 KiB of pipelined requests are kept, within the memory budget. From then on the session reads on and discards, so that it comes to the FIN: 1 MiB, then 5 ms for others, so 10 MB, which both kernels may hold together, take under 0.1 s. The requests that are kept are answered; then the client gets 503 and the close, since the discarded ones were not forwarded.

--- a/src/net/client_end.rs
+++ b/src/net/client_end.rs
@@ -20,18 +20,21 @@
     RequestTimeout,
     /// There was no memory for a request.
     MemoryExhausted,
+    /// The client pipelined more requests than are kept.
+    PipelineTooLong,
     /// The client did not read a response in time.
     UnreadResponse,
 }
 
 impl ClientEnd {
-    const ALL: [ClientEnd; 7] = [
+    const ALL: [ClientEnd; 8] = [
         ClientEnd::Disconnected,
         ClientEnd::Idle,
         ClientEnd::Finished,
         ClientEnd::Malformed,
         ClientEnd::RequestTimeout,
         ClientEnd::MemoryExhausted,
+        ClientEnd::PipelineTooLong,
         ClientEnd::UnreadResponse,
     ];
 
@@ -44,6 +47,7 @@
             ClientEnd::Malformed => "malformed",
             ClientEnd::RequestTimeout => "request timeout",
             ClientEnd::MemoryExhausted => "memory exhausted",
+            ClientEnd::PipelineTooLong => "pipeline too long",
             ClientEnd::UnreadResponse => "unread response",
         }
     }
--- a/src/net/http/request_error.rs
+++ b/src/net/http/request_error.rs
@@ -26,6 +26,8 @@
     Timeout,
     /// There is no memory for the request, which has not been forwarded.
     MemoryExhausted,
+    /// The client has pipelined more than is kept. The requests after those that were answered have not been forwarded.
+    PipelineTooLong,
 }
 
 impl RequestError {
@@ -38,7 +40,7 @@
             Self::MethodNotAllowed => Status::MethodNotAllowed,
             Self::NotFound => Status::NotFound,
             Self::Timeout => Status::RequestTimeout,
-            Self::MemoryExhausted => Status::ServiceUnavailable,
+            Self::MemoryExhausted | Self::PipelineTooLong => Status::ServiceUnavailable,
             Self::MalformedHead
             | Self::DuplicateHeader
             | Self::HeaderNotUtf8
@@ -75,6 +77,7 @@
             Self::NotFound => f.write_str("nothing is here"),
             Self::Timeout => f.write_str("the request did not come in time"),
             Self::MemoryExhausted => f.write_str("refused: no memory is left for the request"),
+            Self::PipelineTooLong => f.write_str("refused: too much was sent before an answer"),
         }
     }
 }
--- a/src/net/http/session.rs
+++ b/src/net/http/session.rs
@@ -2,10 +2,11 @@
 
 use super::request::{Operation, Progress, Request, RequestReader};
 use super::request_error::RequestError;
-use super::request_head::MAX_HEAD_BYTES;
+use super::request_head::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use super::response;
 use crate::aggregator::{ClientId, Event, Reply};
 use crate::net::client_end::ClientEnd;
+use crate::net::discard::{discard_available, discard_until_end};
 use crate::net::lingering_close::lingering_close;
 use crate::net::memory::{MemoryBudget, ReadError};
 use crate::net::messages::{ClientMessage, EventSender};
@@ -17,7 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Time within which a request must be complete, from its first byte, or from the connection's start for the first
 /// request. Limits how long a client that sends slowly can occupy a connection.
@@ -31,13 +32,12 @@
 const FINAL_READ_TIMEOUT: Duration = Duration::from_millis(2);
 /// Time after which a client that does not read its response is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum number of buffered bytes of pipelined requests while a request is served.
-const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES;
+/// Number of buffered bytes from which further pipelined requests are not kept while a request is served.
+const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES;
+/// Maximum number of bytes discarded before each request of a client that has pipelined more.
+const DISCARDED_BYTES_PER_REQUEST: usize = 1 << 20;
 /// Size of a response above which it counts towards the memory budget while it is written.
 const SMALL_RESPONSE_BYTES: usize = 4 << 10;
-/// Interval at which a client that has pipelined more is checked for a disconnect: no attempt may start later than
-/// 0.1 s after the client has disconnected.
-const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Serves one client until its connection ends, then sends [`Event::ClientClosed`]. Returns why it has ended.
 pub(super) async fn run(
@@ -57,6 +57,7 @@
         memory,
         idle_since: Instant::now(),
         closing_since: None,
+        is_discarding: false,
     };
     let end = session.serve().await.unwrap_or_else(|error| match error.kind() {
         io::ErrorKind::TimedOut => ClientEnd::UnreadResponse,
@@ -77,6 +78,9 @@
     idle_since: Instant,
     /// When the aggregator first asked to close the connection after the current request.
     closing_since: Option<Instant>,
+    /// The client has pipelined too much: what it sends is discarded, and the connection ends after the requests that have
+    /// been kept.
+    is_discarding: bool,
 }
 
 /// Outcome of reading a request.
@@ -139,6 +143,7 @@
         Ok(match error {
             RequestError::Timeout => ClientEnd::RequestTimeout,
             RequestError::MemoryExhausted => ClientEnd::MemoryExhausted,
+            RequestError::PipelineTooLong => ClientEnd::PipelineTooLong,
             _ => ClientEnd::Malformed,
         })
     }
@@ -159,6 +164,9 @@
                 Ok(Progress::Complete(request)) => {
                     return Ok(ReadOutcome::Request(self.take_request(request)));
                 }
+                Ok(Progress::Incomplete { .. }) if self.is_discarding => {
+                    return Ok(ReadOutcome::Rejected(RequestError::PipelineTooLong));
+                }
                 Ok(Progress::Incomplete { continue_expected }) => {
                     self.input.mark_incomplete();
                     if continue_expected {
@@ -223,28 +231,38 @@
         self.closing_since.get_or_insert_with(Instant::now);
     }
 
-    /// Reads what has arrived, up to the limit on pipelined bytes, and returns whether the client has disconnected.
+    /// Reads what has arrived and returns whether the client has disconnected.
     async fn client_has_disconnected(&mut self) -> io::Result<bool> {
-        while self.input.len() < MAX_PIPELINED_BYTES {
+        while self.can_pipeline() {
             match self.input.try_read(&self.stream) {
                 Ok(0) => return Ok(true),
                 Ok(_) => {}
-                Err(ReadError::Io(error)) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(ReadError::Io(error)) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(ReadError::Io(error)) => return Err(error),
-                Err(ReadError::MemoryExhausted) => break,
+                Err(ReadError::MemoryExhausted) => self.is_discarding = true,
             }
         }
+        if self.is_discarding {
+            let discarded = discard_available(&self.stream, DISCARDED_BYTES_PER_REQUEST)?;
+            return Ok(discarded.is_end_of_stream);
+        }
         // tokio reports a newly accepted connection as readable before it has polled the kernel.
         yield_now().await;
         let ready = self.stream.ready(Interest::READABLE).now_or_never().transpose()?;
         Ok(ready.is_some_and(tokio::io::Ready::is_read_closed))
     }
 
+    /// Whether pipelined requests are still kept. Once they are not, whatever the client sends is discarded, since its
+    /// disconnect is behind that.
+    fn can_pipeline(&mut self) -> bool {
+        self.is_discarding |= self.input.len() >= MAX_PIPELINED_BYTES;
+        !self.is_discarding
+    }
+
     /// Waits for the reply; `None` if the client disconnects first.
     async fn await_reply(&mut self) -> io::Result<Option<ClientReply>> {
-        let mut can_read = true;
         loop {
-            can_read &= self.input.len() < MAX_PIPELINED_BYTES;
+            let can_pipeline = self.can_pipeline();
             tokio::select! {
                 message = self.messages.recv() => match message {
                     Some(ClientMessage::Reply { reply, close }) => return Ok(Some(ClientReply { reply, close })),
@@ -252,13 +270,13 @@
                     None => return Ok(None),
                 },
                 // While a request is served, data means a pipelined request, and an end of stream a disconnect.
-                read = self.input.read(&self.stream), if can_read => match read {
+                read = self.input.read(&self.stream), if can_pipeline => match read {
                     Ok(0) => return Ok(None),
                     Ok(_) => {}
                     Err(ReadError::Io(error)) => return Err(error),
-                    Err(ReadError::MemoryExhausted) => can_read = false,
+                    Err(ReadError::MemoryExhausted) => self.is_discarding = true,
                 },
-                end = end_of_stream(&self.stream), if !can_read => {
+                end = discard_until_end(&self.stream), if !can_pipeline => {
                     end?;
                     return Ok(None);
                 }
@@ -291,12 +309,3 @@
         lingering_close(&mut self.stream, cancelled).await
     }
 }
-
-/// Waits until the client has closed its side of the stream, without reading the remaining data.
-async fn end_of_stream(stream: &TcpStream) -> io::Result<()> {
-    // With unread data the socket stays readable, so waiting for readability would return immediately.
-    while !stream.ready(Interest::READABLE).await?.is_read_closed() {
-        sleep(DISCONNECT_CHECK_INTERVAL).await;
-    }
-    Ok(())
-}
--- a/src/net/lingering_close.rs
+++ b/src/net/lingering_close.rs
@@ -1,6 +1,7 @@
 //! Lingering close of a client's connection. After the last response, data that the client still sends is read and
 //! discarded: closing with unread data would reset the connection and could lose the response.
 
+use super::discard::discard_available;
 use std::future::Future;
 use std::io;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 const MAX_LINGER_BYTES: usize = 80 << 20;
 /// Time without data from the client after which a lingering close ends.
 const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Size of the read buffer of a lingering close.
+/// Maximum number of bytes discarded in one wakeup.
 const LINGER_READ_BYTES: usize = 16 << 10;
 
 /// Ends the sending half of the stream and discards what arrives until the client closes its half, a limit is reached, or
@@ -40,17 +41,9 @@
     while discarded_bytes < MAX_LINGER_BYTES {
         let deadline = end.min(Instant::now() + LINGER_IDLE_TIMEOUT);
         let Ok(Ok(())) = timeout_at(deadline, stream.readable()).await else { return };
-        match discard_available(stream) {
-            Ok(0) => return,
-            Ok(bytes) => discarded_bytes += bytes,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
+        match discard_available(stream, LINGER_READ_BYTES) {
+            Ok(discarded) if !discarded.is_end_of_stream => discarded_bytes += discarded.bytes,
+            _ => return,
         }
     }
 }
-
-/// Reads once and discards what was read; returns 0 at the end of the stream. The buffer is on the stack: there may be many
-/// connections, and none of them needs it while it waits.
-fn discard_available(stream: &TcpStream) -> io::Result<usize> {
-    stream.try_read(&mut [0; LINGER_READ_BYTES])
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod chunked;
 mod client_end;
 mod client_listener;
+mod discard;
 mod discovery_watch;
 mod effects;
 mod event_loop;
--- a/tests/endings/client_disconnects.rs
+++ b/tests/endings/client_disconnects.rs
@@ -53,6 +53,33 @@
     assert_eq!(aggregator.counters()["attempts_sent"], 2, "no pipelined request was forwarded");
 }
 
+/// A client that pipelines more than the aggregator keeps, and stays, gets an answer to each request that is kept, and then
+/// an error that says that the others have not been forwarded.
+#[test]
+fn a_client_that_pipelines_too_much_gets_answers_and_then_an_error() {
+    let leaf_server = AnsweringLeafServer::new();
+    let aggregator = Setup::new(&[listed_endpoint("a", leaf_server.address, 0)]).start();
+    aggregator.pause();
+    let mut client = Client::connect(aggregator.address);
+    let pipelined: String = (0..5000).map(|i| query(&format!("q{i}"), "9000m", &[0])).collect();
+    let mut writer = client.try_clone();
+    let writing = thread::spawn(move || writer.send_as_much_as_possible(pipelined.as_bytes()));
+    thread::sleep(Duration::from_millis(200));
+    aggregator.resume();
+    let mut answered = 0;
+    let last = loop {
+        let response = client.response();
+        if response.status != 200 {
+            break response;
+        }
+        answered += 1;
+    };
+    writing.join().expect("the aggregator reads or closes");
+    assert!((last.status, last.header("Connection")) == (503, Some("close")), "{last:?}");
+    assert!(answered >= 100, "only {answered} requests were answered");
+    assert_eq!(leaf_server.count(), answered, "each forwarded request is answered");
+}
+
 /// Requests that are read only after their clients have disconnected are not forwarded.
 #[test]
 fn a_request_read_after_its_client_disconnected_is_not_forwarded() {
