Refuse a request id that comes again after its query may have run

Cause: an id was taken only while its query was in flight, and a query whose client leaves ends at once, while its attempts may still run at the leaf servers.

Change: aggregator::request_ids remembers the ids of queries of which an attempt has been passed to a writer, as 64-bit fingerprints, for 60 s and 32,768 of them; such an id gets 400 as one in flight does.

--- a/src/aggregator/attempts.rs
+++ b/src/aggregator/attempts.rs
@@ -87,7 +87,8 @@
                 for attempt_id in attempts_of_call {
                     let Some(attempt) = attempts.get_mut(attempt_id) else { continue };
                     let Some(part) = parts.get(&attempt.part) else { continue };
-                    let Some(query) = queries.get(&part.query) else { continue };
+                    let Some(query) = queries.get_mut(&part.query) else { continue };
+                    query.was_sent = true;
                     attempt.stage = AttemptStage::Submitted { connection: *id, message };
                     call.push(CallPart {
                         attempt: *attempt_id,
--- a/src/aggregator/queries.rs
+++ b/src/aggregator/queries.rs
@@ -24,11 +24,11 @@
         }
     }
 
-    fn validate(&self, client: ClientId, new: &NewQuery) -> Result<QueryIndices, QueryError> {
+    fn validate(&mut self, client: ClientId, new: &NewQuery) -> Result<QueryIndices, QueryError> {
         let indices = validate_query(new, &self.state.settings)?;
         let client_is_busy = self.state.clients.get(&client).is_some_and(|client| client.query.is_some());
-        // Leaf servers identify a part by request id and shard, so the id must be unique among queries in flight.
-        if client_is_busy || self.state.request_ids.contains(&new.request_id) {
+        // Leaf servers identify a part by request id and shard.
+        if client_is_busy || !self.state.request_ids.claim(&new.request_id, self.now) {
             return Err(QueryError::RequestIdInUse);
         }
         Ok(indices)
@@ -45,7 +45,6 @@
         let parts: Vec<PartSpec> = new.parts.iter().map(|part| self.add_part(query, part)).collect();
 
         let state = &mut *self.state;
-        state.request_ids.insert(new.request_id.clone());
         let record = Query {
             client,
             class: new.class.into(),
@@ -56,6 +55,7 @@
             payload: new.payload,
             idempotency_key: new.idempotency_key,
             parts: parts.iter().map(|part| part.part).collect(),
+            was_sent: false,
             deadline_at: self.now + time_left,
         };
         state.queries.insert(query, record);
@@ -142,7 +142,7 @@
     pub(super) fn remove_query(&mut self, id: QueryId) {
         let Some(query) = self.state.queries.remove(&id) else { return };
         self.state.timers.cancel(query.deadline_at, Timer::QueryDeadline(id));
-        self.state.request_ids.remove(&query.request_id);
+        self.state.request_ids.release(&query.request_id, query.was_sent, self.now);
         for part in query.parts {
             let Some(record) = self.state.parts.get(&part) else { continue };
             let open_attempts: Vec<AttemptId> = record.open_attempts.values().copied().collect();
--- a/src/aggregator/query_validation.rs
+++ b/src/aggregator/query_validation.rs
@@ -25,7 +25,7 @@
     InvalidNumber,
     /// A weight is zero, or the weights do not sum to one.
     InvalidWeights,
-    /// The client already has a query in flight, or another query in flight has the same request id.
+    /// The client already has a query in flight, or another query with the same request id is in flight or may have run.
     RequestIdInUse,
 }
 
--- a/src/aggregator/records.rs
+++ b/src/aggregator/records.rs
@@ -58,6 +58,8 @@
     pub payload: Bytes,
     pub idempotency_key: Option<Arc<str>>,
     pub parts: Vec<PartId>,
+    /// Whether any attempt has been passed to a connection's writer, so that the query may have run.
+    pub was_sent: bool,
     /// Due time of its [`Timer::QueryDeadline`](super::timer::Timer::QueryDeadline).
     pub deadline_at: Millis,
 }
--- a/src/aggregator/state.rs
+++ b/src/aggregator/state.rs
@@ -4,6 +4,7 @@
 use super::ledger_entries::Billing;
 use super::records::{Attempt, Client, Gateway, LeafServer, Part, Query};
 use super::rejections::RejectionCounters;
+use super::request_ids::{RequestIds, SharedRequestIds};
 use super::timer::{Timer, TimerQueue};
 use super::{AttemptId, ClientId, ConnectionId, Counters, GatewayId, Lifecycle, Limits, Siblings};
 use crate::balancer::{Balancer, PartId, QueryId, ReplicaId, SettingsError};
@@ -12,7 +13,7 @@
 use crate::endpoints::{EndpointRegistry, GuardSettings};
 use crate::hot_restart::Overrides;
 use crate::ledger::PriceList;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// The state of one process of an aggregator.
@@ -25,8 +26,7 @@
     pub(super) clients: BTreeMap<ClientId, Client>,
     pub(super) gateways: BTreeMap<GatewayId, Gateway>,
     pub(super) queries: BTreeMap<QueryId, Query>,
-    /// Request ids of the queries in flight; leaf servers identify parts by request id and shard.
-    pub(super) request_ids: BTreeSet<Arc<str>>,
+    pub(super) request_ids: RequestIds,
     pub(super) parts: BTreeMap<PartId, Part>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
 
@@ -81,7 +81,7 @@
             clients: BTreeMap::new(),
             gateways: BTreeMap::new(),
             queries: BTreeMap::new(),
-            request_ids: BTreeSet::new(),
+            request_ids: RequestIds::default(),
             parts: BTreeMap::new(),
             attempts: BTreeMap::new(),
             leaf_servers: BTreeMap::new(),
@@ -108,6 +108,11 @@
         self.open_listeners += 1;
     }
 
+    /// Shares request ids with the sibling processes of this aggregator.
+    pub fn share_request_ids(&mut self, shared: Box<dyn SharedRequestIds>) {
+        self.request_ids.shared = Some(shared);
+    }
+
     /// Starts recording each final answer in a ledger, billed at the given prices.
     pub fn enable_ledger(&mut self, prices: PriceList) {
         self.billing = Some(Billing::new(prices));
--- a/src/hot_restart/shared_directory.rs
+++ b/src/hot_restart/shared_directory.rs
@@ -1,7 +1,7 @@
 //! The directory shared by the processes of one aggregator: the stored overrides, and the process slots.
 
 use super::process_slots::{self, ProcessSlot, Sibling};
-use super::{Overrides, snapshot};
+use super::{Overrides, RequestIdTable, snapshot};
 use crate::clock::Millis;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read};
@@ -17,6 +17,9 @@
 /// Locked while a process reads, merges and writes the overrides.
 const LOCK_FILE: &str = "lock";
 
+/// The table of request ids.
+const REQUEST_IDS_FILE: &str = "request-ids";
+
 /// Permissions of the directory: owner only.
 const DIRECTORY_MODE: u32 = 0o700;
 
@@ -128,6 +131,14 @@
         written
     }
 
+    /// Opens the table of request ids.
+    ///
+    /// # Errors
+    /// The file cannot be opened or extended.
+    pub fn request_ids(&self) -> io::Result<RequestIdTable> {
+        RequestIdTable::open(&self.path.join(REQUEST_IDS_FILE))
+    }
+
     /// Acquires a free process slot; `None` if all are in use.
     ///
     /// # Errors
--- a/tests/hot_restart.rs
+++ b/tests/hot_restart.rs
@@ -3,9 +3,11 @@
 use proptest::prelude::*;
 use sailmux::endpoints::{Endpoint, EndpointState};
 use sailmux::hot_restart::{
-    MAX_OVERRIDES, Override, OverrideSubject, Overrides, ProcessStatus, SharedDirectory, StoredOverrides,
-    TooManyOverrides, snapshot,
+    MAX_OVERRIDES, Override, OverrideSubject, Overrides, ProcessStatus, RequestIdTable, SharedDirectory,
+    StoredOverrides, TooManyOverrides, request_id_fingerprint, snapshot,
 };
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 fn leaf_server(name: impl AsRef<str>) -> OverrideSubject {
     OverrideSubject::LeafServer(name.as_ref().into())
@@ -141,3 +143,50 @@
     assert_eq!(directory.siblings(Some(second.number())), [], "a dropped slot is free");
     std::fs::remove_dir_all(&parent).expect("directory removed");
 }
+
+/// Guards against a request id that a process takes although a sibling has it, or refuses although it was released.
+#[test]
+fn processes_refuse_request_ids_that_a_sibling_has_taken() {
+    let path = scratch_file("request-ids");
+    let (old, new) = (open_ids(&path), open_ids(&path));
+    let id = request_id_fingerprint("9b1f03aa5c7e2d41");
+    assert!(old.insert(id).expect("written"));
+    assert!(!new.insert(id).expect("read"), "taken by the other process");
+    new.remove(id).expect("written");
+    assert!(new.insert(id).expect("written"), "released");
+    drop(old);
+    assert!(!open_ids(&path).insert(id).expect("read"), "a process that starts later knows it too");
+}
+
+/// Guards against a table that grows, or that forgets the newest ids instead of the oldest.
+#[test]
+fn the_table_of_request_ids_has_a_fixed_size_and_forgets_the_oldest() {
+    let path = scratch_file("request-ids");
+    let table = open_ids(&path);
+    let size = || std::fs::metadata(&path).expect("a file").len();
+    let size_at_start = size();
+    for number in 0..40_000 {
+        assert!(table.insert(request_id_fingerprint(&format!("q{number}"))).expect("written"), "{number}");
+    }
+    assert_eq!(size(), size_at_start);
+    for number in 38_000..40_000 {
+        assert!(!table.insert(request_id_fingerprint(&format!("q{number}"))).expect("read"), "{number}");
+    }
+    // A file of another length, such as one that was cut off, is brought to its size again.
+    std::fs::write(&path, b"cut off").expect("written");
+    assert!(open_ids(&path).insert(request_id_fingerprint("q")).expect("written"));
+    assert_eq!(size(), size_at_start);
+}
+
+/// A path in a new directory below Cargo's directory for temporary files.
+fn scratch_file(name: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let unique = format!("hot-restart-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(unique);
+    std::fs::create_dir_all(&dir).expect("a directory");
+    dir.join(name)
+}
+
+fn open_ids(path: &Path) -> RequestIdTable {
+    RequestIdTable::open(path).expect("opened")
+}
