Share the request ids that were taken among the processes of one aggregator

Cause: each process knew its own ids alone, and the new process knows nothing of the old one's after its exit.

If the file cannot be accessed, ids are checked within the process, and a change of that is logged.

a_request_id_does_not_run_again_at_the_other_process_of_a_hot_restart failed before (503 after a second run) and passes now; the other tests of operational_faults, hot_restart, lifecycle, endings and http_and_flight pass.

--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -5,8 +5,8 @@
 use crate::aggregator::{AdminOutcome, Event, Siblings};
 use crate::clock::{Clock, Millis};
 use crate::hot_restart::{
-    ChangeMarker, MergedOverrides, Overrides, ProcessSlot, ProcessStatus, SharedDirectory, Sibling,
-    StoredOverrides, snapshot,
+    ChangeMarker, MergedOverrides, Overrides, ProcessSlot, ProcessStatus, RequestIdTable, SharedDirectory,
+    Sibling, StoredOverrides, snapshot,
 };
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -93,6 +93,14 @@
         let _ = self.commands.send(StoreCommand::Store { overrides, reply });
     }
 
+    /// Opens the request ids that the processes share.
+    ///
+    /// # Errors
+    /// The file cannot be opened.
+    pub fn request_ids(&self) -> io::Result<RequestIdTable> {
+        self.directory.request_ids()
+    }
+
     /// Reads the current state of the sibling processes.
     pub fn current_siblings(&self) -> Siblings {
         summarize(&self.directory.siblings(self.slot))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,6 +29,7 @@
 mod query_body;
 mod read_buffer;
 mod server;
+mod shared_request_ids;
 
 pub use inventory_watch::confirmation_path;
 pub use server::{serve, serve_on};
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -14,6 +14,7 @@
 use super::listener::{self, AddressSharing};
 use super::messages::{EventSender, event_queue};
 use super::metrics::NetMetrics;
+use super::shared_request_ids::RequestIdFile;
 use crate::aggregator::{Event, Limits, State};
 use crate::clock::Clock;
 use crate::config::Config;
@@ -64,6 +65,7 @@
     let operator::Operator { inventory, ledger, flight_listen, .. } = config.operator;
     let guard = inventory.as_ref().map(|inventory| inventory.guard).unwrap_or_default();
     let mut state = State::new(config.settings, limits, config.seed, guard).map_err(io::Error::other)?;
+    share_request_ids(&mut state, hot_restart.as_ref());
     let address = listener.local_addr()?;
     let admin_requests = start_admin(config.admin_address, &config.name)?;
     let ledger = match ledger {
@@ -171,6 +173,15 @@
     }
 }
 
+/// Lets the aggregator refuse request ids that a sibling process has taken.
+fn share_request_ids(state: &mut State, hot_restart: Option<&HotRestartHandle>) {
+    let Some(hot_restart) = hot_restart else { return };
+    match hot_restart.request_ids() {
+        Ok(table) => state.share_request_ids(Box::new(RequestIdFile::new(table))),
+        Err(error) => error!("request ids cannot be shared with sibling processes: {error}"),
+    }
+}
+
 /// Starts the admin server if it has an address. Without one the returned queue is closed.
 fn start_admin(address: Option<SocketAddr>, name: &str) -> io::Result<mpsc::Receiver<AdminRequest>> {
     let (sender, requests) = mpsc::channel(ADMIN_QUEUE_LENGTH);
