--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -3,12 +3,13 @@
 
 mod common;
 
-use common::flight::ticket;
+use common::flight::{FlightLeaf, LeafResponse, ticket};
 use common::http2::{Frames, HeaderBlock, message_prefix, ticket_message};
 use common::process::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -409,3 +410,94 @@
     assert!(growth <= 1024, "{growth} kB more after 20,000 queries");
     assert_within_memory_limit(&mut aggregator);
 }
+
+/// Answers every part with a value of this size.
+fn answer_with(leaf_server: LeafServer, value_bytes: usize) {
+    thread::spawn(move || {
+        for stream in leaf_server.listener.incoming().map_while(Result::ok) {
+            let mut connection = LeafConnection { stream };
+            thread::spawn(move || {
+                let value = "v".repeat(value_bytes);
+                while let Some((letter, rest)) = connection.next_frame() {
+                    let part = rest.split(' ').next().expect("a part");
+                    if letter == 'm'
+                        && connection.try_send_frame('q', &format!("{part} good 17 -\n{value}")).is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// Sends `CLIENTS` queries at once, waits until others have been served for a while, and expects that each gets its final
+/// answer by its deadline.
+fn play_queries(aggregator: &mut Aggregator, shards: &[u32], payload: &str) {
+    let mut clients = Vec::new();
+    for number in 0..CLIENTS {
+        let mut client = Client::connect(aggregator.address);
+        client.send(query_with_payload(&format!("hostile-{number}"), "2500m", shards, payload));
+        clients.push(client);
+    }
+    query_repeatedly(aggregator.address, Duration::from_secs(1));
+    for mut client in clients {
+        assert!(client.response().status >= 500);
+    }
+    assert_within_memory_limit(aggregator);
+}
+
+/// Guards against large values that are kept while their queries wait for other parts.
+#[test]
+fn large_values_of_waiting_queries_do_not_exceed_the_memory_limit() {
+    let _exclusive = exclusively();
+    let (large, hanging) = (LeafServer::new(), LeafServer::new());
+    let answering = AnsweringLeafServer::new();
+    let mut aggregator = start(&Setup::new(&[
+        listed_endpoint("a", answering.address, 0),
+        listed_endpoint("b", large.address, 1),
+        listed_endpoint("c", hanging.address, 2),
+    ]));
+    answer_with(large, 60_000);
+    play_queries(&mut aggregator, &[1, 2], "p");
+}
+
+/// Guards against copies of a large payload, one for each part, for leaf servers that do not read.
+#[test]
+fn copies_of_payloads_for_leaf_servers_that_do_not_read_do_not_exceed_the_memory_limit() {
+    let _exclusive = exclusively();
+    let hanging = [LeafServer::new(), LeafServer::new()];
+    let answering = AnsweringLeafServer::new();
+    let mut aggregator = start(&Setup::new(&[
+        listed_endpoint("a", answering.address, 0),
+        listed_endpoint("b", hanging[0].address, 1),
+        listed_endpoint("c", hanging[1].address, 2),
+    ]));
+    play_queries(&mut aggregator, &[1, 2], &"x".repeat(60_000));
+}
+
+/// Guards against Flight leaf servers that send large values and never end their streams.
+#[test]
+fn streams_that_flight_leaf_servers_never_end_do_not_exceed_the_memory_limit() {
+    let _exclusive = exclusively();
+    let leaf_server = FlightLeaf::new();
+    let answering = AnsweringLeafServer::new();
+    let mut aggregator = start(&Setup::new(&[
+        listed_endpoint("a", answering.address, 0),
+        leaf_server.listed_endpoint("b", 1),
+    ]));
+    let value: &'static str = Box::leak("v".repeat(500_000).into_boxed_str());
+    let running = Arc::new(AtomicBool::new(true));
+    let leaf_running = running.clone();
+    let answers = thread::spawn(move || {
+        while leaf_running.load(Ordering::SeqCst) {
+            match leaf_server.try_part() {
+                Some(part) => part.respond(LeafResponse::Truncated(value)),
+                None => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    });
+    play_queries(&mut aggregator, &[1], "p");
+    running.store(false, Ordering::SeqCst);
+    answers.join().expect("no panic");
+}
