Bound the memory of what leaf servers send, over frames and Flight

Operators saw (trials and tests): values of 60 kB that wait for another part took a process of 32 MB to 57 MB, leaf servers that stop within a frame to 33 MB, Flight leaf servers that send 500 kB and no end to 526 MB.

Cause: the same as for clients: each connection's buffer was bounded, the sum was not. A value of any size kept the whole 16 KB read buffer that it came in; HTTP/2 allowed 5 MB for each connection; tonic allocates the length that a message declares; each part's copy of a payload was encoded as soon as its connection had it.

Change: buffers and values of leaf servers reserve from the budget for peers' data; values are copied out of read buffers; calls are encoded when the socket accepts them, 64 KiB at a time; windows are 64 KB, and an answer over Flight reserves the length that its messages declare before they are decoded. Without memory an attempt ends as one whose answer broke off (it may have run), or, if it was not sent, as rejected.

--- a/src/net/effects.rs
+++ b/src/net/effects.rs
@@ -220,12 +220,15 @@
         let (sender, messages) = mpsc::channel(LEAF_QUEUE_LENGTH);
         self.leaf_connections.insert(connection, sender);
         let events = self.events.clone();
+        let memory = self.metrics.memory.clone();
         match flight::location(&address) {
             Some(location) => {
-                tokio::task::spawn_local(flight::leaf_client::run(connection, location, messages, events));
+                tokio::task::spawn_local(flight::leaf_client::run(
+                    connection, location, messages, events, memory,
+                ));
             }
             None => {
-                tokio::task::spawn_local(leaf_connection::run(connection, address, messages, events));
+                tokio::task::spawn_local(leaf_connection::run(connection, address, messages, events, memory));
             }
         }
     }
--- a/src/net/flight/leaf_call.rs
+++ b/src/net/flight/leaf_call.rs
@@ -4,6 +4,7 @@
 use crate::aggregator::{CallPart, ConnectionId, Event, PartOutcome};
 use crate::balancer::LoadReport;
 use crate::net::leaf_connection::parse_load_report;
+use crate::net::memory::{MemoryBudget, MemoryExhausted, Reservation};
 use crate::net::messages::EventSender;
 use arrow_array::cast::AsArray;
 use arrow_flight::decode::FlightRecordBatchStream;
@@ -19,6 +20,10 @@
 
 /// Maximum total size of the rows of a part. Guards against a stream that never ends.
 const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Size of a payload up to which its ticket is not counted towards the memory budget.
+const SMALL_PAYLOAD_BYTES: usize = 4 << 10;
+/// Maximum size of one message: a value and the encoding around it.
+pub(super) const MAX_MESSAGE_BYTES: usize = MAX_VALUE_BYTES + (64 << 10);
 
 /// The Flight client of one connection.
 pub(super) type Client = FlightServiceClient<Http2Channel>;
@@ -45,6 +50,13 @@
     MalformedAnswer,
 }
 
+impl From<MemoryExhausted> for CallError {
+    /// The part may have run.
+    fn from(_: MemoryExhausted) -> Self {
+        CallError::NotServed(PartOutcome::Truncated)
+    }
+}
+
 impl From<&Status> for CallError {
     fn from(status: &Status) -> Self {
         CallError::NotServed(outcome_of(status))
@@ -60,9 +72,10 @@
     part: CallPart,
     connection: ConnectionId,
     events: EventSender,
+    memory: MemoryBudget,
 ) -> Result<(), MalformedAnswer> {
     let attempt = part.attempt;
-    let (outcome, rows) = match fetch_rows(client, &part).await {
+    let (outcome, rows) = match fetch_rows(client, &part, &memory).await {
         Ok(rows) => (PartOutcome::Served, rows),
         Err(CallError::NotServed(outcome)) => (outcome, Vec::new()),
         Err(CallError::MalformedAnswer) => return Err(MalformedAnswer),
@@ -72,7 +85,12 @@
 }
 
 /// Returns the rows once the stream has ended successfully: no rows of a truncated stream may reach a client.
-async fn fetch_rows(mut client: Client, part: &CallPart) -> Result<Vec<Bytes>, CallError> {
+async fn fetch_rows(
+    mut client: Client,
+    part: &CallPart,
+    memory: &MemoryBudget,
+) -> Result<Vec<Bytes>, CallError> {
+    let _ticket_memory = reserve_ticket(part, memory)?;
     let ticket = PartTicket {
         id: format!("{}.{}", part.request_id, part.shard),
         shard: part.shard,
@@ -95,7 +113,7 @@
         };
         let column = batch.column_by_name("blob").and_then(|column| column.as_string_opt::<i32>());
         for row in column.ok_or(CallError::MalformedAnswer)? {
-            let row = Bytes::copy_from_slice(row.unwrap_or_default().as_bytes());
+            let row = memory.copy(row.unwrap_or_default().as_bytes())?;
             value_bytes += row.len();
             rows.push(row);
         }
@@ -105,6 +123,17 @@
     }
 }
 
+/// Reserves memory for the ticket of a large part, which exists as text and as a message until it is sent.
+fn reserve_ticket(part: &CallPart, memory: &MemoryBudget) -> Result<Reservation, CallError> {
+    let mut reservation = memory.reservation();
+    if part.payload.len() > SMALL_PAYLOAD_BYTES {
+        let reserved = reservation.resize(2 * part.payload.len());
+        // Nothing has been sent.
+        reserved.map_err(|_| CallError::NotServed(PartOutcome::Rejected))?;
+    }
+    Ok(reservation)
+}
+
 /// Maps a status to the outcome of the part. A status with a source error was created locally because the stream or
 /// connection broke.
 fn outcome_of(status: &Status) -> PartOutcome {
--- a/src/net/flight/leaf_client.rs
+++ b/src/net/flight/leaf_client.rs
@@ -6,6 +6,7 @@
 use super::leaf_call::{self, Client, MalformedAnswer};
 use super::write_progress::{WriteProgress, WritesBlocked};
 use crate::aggregator::{AttemptId, ConnectionId, Event};
+use crate::net::memory::MemoryBudget;
 use crate::net::messages::{EventSender, LeafMessage};
 use arrow_flight::flight_service_client::FlightServiceClient;
 use std::collections::HashMap;
@@ -60,8 +61,9 @@
     location: String,
     messages: mpsc::Receiver<LeafMessage>,
     events: EventSender,
+    memory: MemoryBudget,
 ) {
-    let result = connect(connection, &location, messages, &events).await;
+    let result = connect(connection, &location, messages, &events, &memory).await;
     let protocol_error = matches!(result, Err(LeafClientError::MalformedAnswer));
     let reason = result.err().map(|error| error.to_string());
     let _ = events.send(Event::ConnectionEnded { connection, reason, protocol_error }).await;
@@ -72,6 +74,7 @@
     location: &str,
     mut messages: mpsc::Receiver<LeafMessage>,
     events: &EventSender,
+    memory: &MemoryBudget,
 ) -> Result<(), LeafClientError> {
     let progress = Rc::new(WriteProgress::default());
     let dial = async {
@@ -79,18 +82,22 @@
         let _ = stream.set_nodelay(true);
         // Closing resets the connection immediately, so that no cancelled part is sent afterwards.
         let _ = stream.set_zero_linger();
-        Http2Channel::handshake(stream, progress.clone()).await.map_err(LeafClientError::Handshake)
+        Http2Channel::handshake(stream, progress.clone(), memory.clone())
+            .await
+            .map_err(LeafClientError::Handshake)
     };
     let (channel, driver) = tokio::select! {
         connected = dial => connected?,
         _ = messages.recv() => return Ok(()),
     };
     let origin = format!("http://{location}").parse().map_err(LeafClientError::InvalidAddress)?;
-    let client = FlightServiceClient::with_origin(channel, origin);
+    let client = FlightServiceClient::with_origin(channel, origin)
+        .max_decoding_message_size(leaf_call::MAX_MESSAGE_BYTES);
     let mut driver = spawn_local(driver);
     let mut connection = LeafConnection {
         id,
         events,
+        memory,
         client,
         calls: JoinSet::new(),
         attempts: HashMap::new(),
@@ -118,6 +125,7 @@
 struct LeafConnection<'a> {
     id: ConnectionId,
     events: &'a EventSender,
+    memory: &'a MemoryBudget,
     client: Client,
     /// Calls in flight; one that ends with an error ends the connection.
     calls: JoinSet<Result<(), MalformedAnswer>>,
@@ -157,7 +165,13 @@
             LeafMessage::Call(parts) => {
                 for part in parts {
                     let attempt = part.attempt;
-                    let call = leaf_call::call(self.client.clone(), part, self.id, self.events.clone());
+                    let call = leaf_call::call(
+                        self.client.clone(),
+                        part,
+                        self.id,
+                        self.events.clone(),
+                        self.memory.clone(),
+                    );
                     self.attempts.insert(attempt, self.calls.spawn_local(call));
                 }
             }
--- a/src/net/flight/mod.rs
+++ b/src/net/flight/mod.rs
@@ -8,6 +8,7 @@
 mod http2_channel;
 mod leaf_call;
 pub(super) mod leaf_client;
+mod message_lengths;
 mod observed_socket;
 mod server;
 mod ticket;
--- a/src/net/leaf_connection/mod.rs
+++ b/src/net/leaf_connection/mod.rs
@@ -10,10 +10,12 @@
 
 use super::messages::{EventSender, LeafMessage};
 use crate::aggregator::{CallPart, ConnectionId, Event};
+use crate::net::memory::{BudgetedBuffer, MemoryBudget, ReadError};
 use attempt_names::AttemptNames;
 use bytes::{BufMut, BytesMut};
 use frame::{Answer, HealthReport, LeafFrame, ProtocolError};
 use output::OutputBuffer;
+use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,8 +27,8 @@
 /// Time within which a frame must be complete after its first byte. Guards against a wrong length field, which would
 /// make the connection treat later frames as part of this one.
 const FRAME_TIMEOUT: Duration = Duration::from_millis(250);
-/// Buffer space reserved for each read.
-const READ_BYTES: usize = 16 << 10;
+/// Size of the encoded output from which further messages wait.
+const MAX_ENCODED_BYTES: usize = 64 << 10;
 
 /// The cause of the end of a connection.
 enum ConnectionEnd {
@@ -54,8 +56,9 @@
     address: Arc<str>,
     messages: mpsc::Receiver<LeafMessage>,
     events: EventSender,
+    memory: MemoryBudget,
 ) {
-    let (reason, protocol_error) = match connect(connection, &address, messages, &events).await {
+    let (reason, protocol_error) = match connect(connection, &address, messages, &events, &memory).await {
         ConnectionEnd::Closed => (None, false),
         ConnectionEnd::Io(error) => (Some(error.to_string()), false),
         ConnectionEnd::Protocol(error) => (Some(error.to_string()), true),
@@ -68,6 +71,7 @@
     address: &str,
     mut messages: mpsc::Receiver<LeafMessage>,
     events: &EventSender,
+    memory: &MemoryBudget,
 ) -> ConnectionEnd {
     let stream = tokio::select! {
         connected = TcpStream::connect(address) => match connected {
@@ -79,7 +83,7 @@
     };
     let _ = stream.set_nodelay(true);
     let _ = events.send(Event::Connected(id)).await;
-    let mut connection = LeafConnection::new(id, events);
+    let mut connection = LeafConnection::new(id, events, memory);
     let end = connection.serve(&stream, &mut messages).await;
     if !matches!(end, ConnectionEnd::Io(_)) {
         // Closing resets the connection immediately, so that no cancelled part is sent afterwards.
@@ -92,20 +96,25 @@
 struct LeafConnection<'a> {
     id: ConnectionId,
     events: &'a EventSender,
+    /// Messages that are not encoded yet: an encoded call has a copy of the payload for each part.
+    waiting_messages: VecDeque<LeafMessage>,
     output: OutputBuffer,
-    input: BytesMut,
+    input: BudgetedBuffer,
+    memory: &'a MemoryBudget,
     /// When the first byte of an incomplete frame was read; `None` between frames.
     frame_started_at: Option<Instant>,
     attempts: AttemptNames,
 }
 
 impl<'a> LeafConnection<'a> {
-    fn new(id: ConnectionId, events: &'a EventSender) -> Self {
+    fn new(id: ConnectionId, events: &'a EventSender, memory: &'a MemoryBudget) -> Self {
         LeafConnection {
             id,
             events,
+            waiting_messages: VecDeque::new(),
             output: OutputBuffer::default(),
-            input: BytesMut::new(),
+            input: BudgetedBuffer::new(memory),
+            memory,
             frame_started_at: None,
             attempts: AttemptNames::default(),
         }
@@ -135,7 +144,7 @@
         tokio::select! {
             message = messages.recv() => {
                 let Some(message) = message else { return Err(ConnectionEnd::Closed) };
-                self.encode(message);
+                self.waiting_messages.push_back(message);
                 self.write(stream).await
             }
             ready = stream.ready(interest) => {
@@ -187,7 +196,7 @@
     /// Writes as much as the socket accepts and reports the number of messages that are completely written.
     async fn write(&mut self, stream: &TcpStream) -> Result<(), ConnectionEnd> {
         let written_before = self.output.written_messages();
-        let result = self.output.write(stream);
+        let result = self.write_waiting(stream);
         let written = self.output.written_messages();
         if written > written_before {
             let _ = self.events.send(Event::Written(self.id, written)).await;
@@ -195,25 +204,40 @@
         Ok(result?)
     }
 
+    /// Encodes and writes messages until none is left or the socket accepts no more.
+    fn write_waiting(&mut self, stream: &TcpStream) -> io::Result<()> {
+        loop {
+            while self.output.len() < MAX_ENCODED_BYTES
+                && let Some(message) = self.waiting_messages.pop_front()
+            {
+                self.encode(message);
+            }
+            self.output.write(stream)?;
+            if !self.output.is_empty() || self.waiting_messages.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+
     async fn read(&mut self, stream: &TcpStream) -> Result<(), ConnectionEnd> {
-        self.input.reserve(READ_BYTES);
-        match stream.try_read_buf(&mut self.input) {
+        match self.input.try_read(stream) {
             Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
             Ok(_) => {}
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) => return Err(error.into()),
+            Err(ReadError::Io(error)) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(ReadError::Io(error)) => return Err(error.into()),
+            Err(ReadError::MemoryExhausted) => return Err(ProtocolError::MemoryExhausted.into()),
         }
-        while let Some(frame) = frame::next_frame(&mut self.input)? {
+        while let Some(frame) = frame::first_frame(&self.input)? {
             self.frame_started_at = None;
+            let frame_bytes = frame.encoded_bytes();
             let event = match frame.decode()? {
-                LeafFrame::Answer(answer) => self.answer_event(answer)?,
+                LeafFrame::Answer(answer) => answer_event(self.id, &mut self.attempts, &answer, self.memory)?,
                 LeafFrame::Health(report) => self.health_check_event(report),
             };
+            self.input.consume(frame_bytes);
             let _ = self.events.send(event).await;
         }
         if self.input.is_empty() {
-            // Releases the buffer, so that a large frame does not occupy memory for the connection's lifetime.
-            self.input = BytesMut::new();
             self.frame_started_at = None;
         } else {
             self.frame_started_at.get_or_insert_with(Instant::now);
@@ -221,20 +245,26 @@
         Ok(())
     }
 
-    /// Converts an answer into an event. An unknown name is an error: the answer may belong to an attempt in flight,
-    /// which would otherwise never receive it.
-    fn answer_event(&mut self, answer: Answer<'_>) -> Result<Event, ProtocolError> {
-        let attempt = self.attempts.remove(answer.attempt_name).ok_or(ProtocolError::UnknownAttempt)?;
-        Ok(Event::AttemptAnswered {
-            connection: self.id,
-            attempt,
-            outcome: answer.outcome,
-            rows: vec![answer.value],
-            report: answer.report,
-        })
-    }
-
     fn health_check_event(&self, HealthReport { healthy, report }: HealthReport) -> Event {
         Event::HealthCheckEnded { connection: self.id, healthy, report }
     }
 }
+
+/// Converts an answer into an event, with its own copy of the value: a part of the read buffer would keep all of that in memory.
+/// An unknown name is an error: the answer may belong to an attempt in flight, which would otherwise never receive it.
+fn answer_event(
+    connection: ConnectionId,
+    attempts: &mut AttemptNames,
+    answer: &Answer<'_>,
+    memory: &MemoryBudget,
+) -> Result<Event, ProtocolError> {
+    let attempt = attempts.remove(answer.attempt_name).ok_or(ProtocolError::UnknownAttempt)?;
+    let value = memory.copy(answer.value).map_err(|_| ProtocolError::MemoryExhausted)?;
+    Ok(Event::AttemptAnswered {
+        connection,
+        attempt,
+        outcome: answer.outcome,
+        rows: vec![value],
+        report: answer.report,
+    })
+}
--- a/src/net/leaf_connection/output.rs
+++ b/src/net/leaf_connection/output.rs
@@ -23,6 +23,11 @@
         self.bytes.is_empty()
     }
 
+    /// Number of bytes that are not written yet.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     pub fn written_messages(&self) -> u64 {
         self.written_messages
     }
@@ -61,6 +66,8 @@
                 Err(error) => return Err(error),
             }
         }
+        // An empty buffer holds no memory.
+        self.bytes = BytesMut::new();
         Ok(())
     }
 }
--- a/src/net/memory/budget.rs
+++ b/src/net/memory/budget.rs
@@ -12,6 +12,8 @@
 
 /// Age from which a reservation may be evicted. A peer that is not slow finishes a request or a response earlier.
 const MIN_EVICTION_AGE: Duration = Duration::from_millis(100);
+/// Size up to which values of leaf servers are not counted.
+const SMALL_VALUE_BYTES: usize = 1 << 10;
 /// Interval between two warnings that memory is short.
 const WARNING_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -105,6 +107,17 @@
         Ok(Bytes::from_owner(AttachedData { data, _reservation: reservation }))
     }
 
+    /// A copy of a leaf server's value. A large one is reserved for as long as any clone of the copy exists.
+    ///
+    /// # Errors
+    /// The budget is exhausted.
+    pub fn copy(&self, value: &[u8]) -> Result<Bytes, MemoryExhausted> {
+        if value.len() <= SMALL_VALUE_BYTES {
+            return Ok(Bytes::copy_from_slice(value));
+        }
+        self.attach(value.to_vec(), value.len())
+    }
+
     /// The current state, for metrics.
     pub fn usage(&self) -> Usage {
         let state = self.state();
