--- a/tests/common/http2.rs
+++ b/tests/common/http2.rs
@@ -81,6 +81,11 @@
         self
     }
 
+    /// The encoded frames.
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.0
+    }
+
     /// Sends the frames; an error means that the aggregator has closed the connection.
     pub fn send(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         stream.write_all(&self.0)
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -4,62 +4,23 @@
 mod common;
 
 use common::flight::{FlightLeaf, LeafResponse, ticket};
+use common::hostile::*;
 use common::http2::{Frames, HeaderBlock, message_prefix, ticket_message};
 use common::process::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The least memory that the platform assigns to a process; above it, the process is killed.
-const MEMORY_LIMIT_MB: u64 = 32;
 /// Number of hostile clients, which connect at once.
 const CLIENTS: usize = 500;
 /// Time for which the hostile clients stay; within it they are owed an error or a close.
 const HOSTILE_PERIOD: Duration = Duration::from_secs(3);
-/// The deadline of the queries of a well-behaved client, and the time after it in which an answer is late but not lost.
-const DEADLINE: Duration = Duration::from_millis(1500);
-const LATE_ANSWER: Duration = Duration::from_millis(500);
-const PROBE_INTERVAL: Duration = Duration::from_millis(20);
-/// One test at a time: each uses a core or two, and measures in time what others get.
-static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
-const FLIGHT: &str = "flight:\n  listen: 127.0.0.1:0\n";
-
 /// The head of a valid query, without its framing.
 const QUERY_HEAD: &str = "POST /api/1 HTTP/1.1\r\nReq-Id: hostile\r\nReq-Kind: c\r\nReq-Deadline: 900m\r\n";
 
-/// An aggregator with the least memory and 1,024 descriptors.
-fn start(setup: &Setup) -> Aggregator {
-    let limit = format!("\"memory_mb\":{MEMORY_LIMIT_MB}");
-    let config = setup.config().replace("\"memory_mb\":192", &limit);
-    assert!(config.contains(&limit), "the configuration has the limit");
-    Aggregator::start(&config, setup.operator.as_deref())
-}
-
-fn start_with_flight(leaf_server: &AnsweringLeafServer) -> (Aggregator, SocketAddr) {
-    let setup = Setup { operator: Some(FLIGHT.to_owned()), ..answering(leaf_server) };
-    let mut aggregator = start(&setup);
-    let flight = aggregator.flight_address().parse().expect("an address");
-    (aggregator, flight)
-}
-
-fn answering(leaf_server: &AnsweringLeafServer) -> Setup {
-    Setup::new(&[listed_endpoint("a", leaf_server.address, 0)])
-}
-
-/// Waits until no other test of this program runs.
-fn exclusively() -> MutexGuard<'static, ()> {
-    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn assert_within_memory_limit(aggregator: &mut Aggregator) {
-    assert!(aggregator.is_running(), "the process has ended: {:#?}", aggregator.log());
-    let peak = aggregator.peak_memory_kb();
-    assert!(peak <= MEMORY_LIMIT_MB << 10, "{peak} kB of {} kB", MEMORY_LIMIT_MB << 10);
-}
-
 /// Clients that connect at once and then send, each on its own connection, until the aggregator stops reading.
 struct HostileClients(Vec<TcpStream>);
 
@@ -81,39 +42,6 @@
     }
 }
 
-/// Sends small queries on a connection of its own for a while. Each must get its final answer in time, and at least half of
-/// them must be served. A connection that is closed between requests is opened again, as clients of the platform do.
-fn assert_others_are_served(address: SocketAddr, period: Duration) {
-    let (sent, served) = query_repeatedly(address, period);
-    assert!(served * 2 >= sent, "{served} of {sent} queries were served");
-}
-
-/// Sends small queries as in [`assert_others_are_served`]; while leaf servers hang, the balancer may reject them. Returns how
-/// many were sent and how many served.
-fn query_repeatedly(address: SocketAddr, period: Duration) -> (u64, u64) {
-    let end = Instant::now() + period;
-    let deadline = format!("{}m", DEADLINE.as_millis());
-    let mut connection = None;
-    let (mut sent, mut served) = (0, 0);
-    while Instant::now() < end {
-        sent += 1;
-        let request = query(&format!("probe-{sent}"), &deadline, &[0]);
-        let sent_at = Instant::now();
-        let mut client = connection.take().unwrap_or_else(|| Client::connect(address));
-        let response = client.try_request(&request).unwrap_or_else(|| {
-            client = Client::connect(address);
-            client.request(&request)
-        });
-        let elapsed = sent_at.elapsed();
-        assert!(elapsed <= DEADLINE + LATE_ANSWER, "{} after {elapsed:?}", response.status);
-        served += u64::from(response.status == 200);
-        let closes = response.header("Connection") == Some("close");
-        connection = (!closes).then_some(client);
-        thread::sleep(PROBE_INTERVAL);
-    }
-    (sent, served)
-}
-
 /// Plays hostile clients that each send `bytes` in pieces of `piece_bytes`, beside a well-behaved client.
 fn play(bytes: &[u8], piece_bytes: usize) {
     let leaf_server = AnsweringLeafServer::new();
