Log a shard whose replicas are all outliers once a second, and count the draws

The evidence has 16 lines of this kind within 2 ms: one for each part, written synchronously by the event loop while it should catch up after a stall. Each draw is counted as outlier_draws now, and the line comes once a second for a shard.

--- a/src/aggregator/counters.rs
+++ b/src/aggregator/counters.rs
@@ -58,6 +58,7 @@
     health_checks_failed as "probes_failed": "Health checks failed or without an answer.",
     load_reports_received as "reports_read": "Load reports received from leaf servers.",
     load_reports_missing as "reports_missing": "Health checks passed without a readable load report.",
+    draws_among_outliers as "outlier_draws": "Draws of a replica for a part while all holders of its shard were outliers.",
     connections_started as "connections_dialled": "Connections to leaf servers begun.",
     connections_failed as "connections_failed": "Connections to leaf servers refused or not established in time.",
     connections_established as "connections_up": "Connections to leaf servers established.",
--- a/src/aggregator/mod.rs
+++ b/src/aggregator/mod.rs
@@ -21,6 +21,7 @@
 mod ledger_entries;
 mod lifecycle;
 mod limits;
+mod log_limit;
 mod queries;
 mod query;
 mod query_validation;
--- a/src/aggregator/reduce.rs
+++ b/src/aggregator/reduce.rs
@@ -150,7 +150,17 @@
             // The endpoint list is always watched.
             Action::WatchEndpoints => {}
             Action::SetTimer { at } => self.state.set_timer(at, Timer::Balancer),
-            Action::Log(event) => self.effects.push(Effect::Log(LogEvent::Balancer(event))),
+            Action::Log(event) => self.log_balancer_event(event),
         }
     }
+
+    fn log_balancer_event(&mut self, event: balancer::LogEvent) {
+        if let balancer::LogEvent::AllHoldersOutliers { shard } = event {
+            self.state.counters.draws_among_outliers += 1;
+            if !self.state.outlier_log_limit.allows(shard, self.now) {
+                return;
+            }
+        }
+        self.effects.push(Effect::Log(LogEvent::Balancer(event)));
+    }
 }
--- a/src/aggregator/state.rs
+++ b/src/aggregator/state.rs
@@ -2,6 +2,7 @@
 
 use super::leaf_connection::LeafConnection;
 use super::ledger_entries::Billing;
+use super::log_limit::ShardLogLimit;
 use super::records::{Attempt, Client, Gateway, LeafServer, Part, Query};
 use super::rejections::RejectionCounters;
 use super::request_ids::{RequestIds, SharedRequestIds};
@@ -22,6 +23,7 @@
     pub(super) balancer: Balancer,
     pub(super) counters: Counters,
     pub(super) rejections: RejectionCounters,
+    pub(super) outlier_log_limit: ShardLogLimit,
 
     pub(super) clients: BTreeMap<ClientId, Client>,
     pub(super) gateways: BTreeMap<GatewayId, Gateway>,
@@ -78,6 +80,7 @@
             settings,
             counters: Counters::default(),
             rejections: RejectionCounters::default(),
+            outlier_log_limit: ShardLogLimit::default(),
             clients: BTreeMap::new(),
             gateways: BTreeMap::new(),
             queries: BTreeMap::new(),
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Duration of a flood.
 const FLOOD_PERIOD: Duration = Duration::from_secs(3);
@@ -198,3 +198,60 @@
     flood.join().expect("no panic");
     assert_within_memory_limit(&mut aggregator);
 }
+
+/// Guards against a log line for each part of a shard whose replicas are all outliers, which floods the log while the leaf servers
+/// hang. How often it happens is counted.
+#[test]
+fn a_shard_with_outliers_alone_is_logged_once_a_second() {
+    let _exclusive = exclusively();
+    let hangs = Arc::new(AtomicBool::new(false));
+    let leaf_servers = [LeafServer::new(), LeafServer::new()];
+    let endpoints =
+        [listed_endpoint("a", leaf_servers[0].address, 0), listed_endpoint("b", leaf_servers[1].address, 0)];
+    for leaf_server in leaf_servers {
+        answer_until(leaf_server, hangs.clone());
+    }
+    let mut aggregator = start(&Setup { deadline_ms: 400, ..Setup::new(&endpoints) });
+    let send_queries = |name: &str, period: Duration| {
+        let started = Instant::now();
+        for batch in 0.. {
+            let mut clients: Vec<Client> = (0..10).map(|_| Client::connect(aggregator.address)).collect();
+            for (number, client) in clients.iter_mut().enumerate() {
+                client.send(query(&format!("{name}-{batch}-{number}"), "300m", &[0]));
+            }
+            for client in &mut clients {
+                client.response();
+            }
+            if started.elapsed() >= period {
+                return;
+            }
+        }
+    };
+    send_queries("answered", Duration::from_secs(1));
+    hangs.store(true, Ordering::SeqCst);
+    let started = Instant::now();
+    send_queries("hanging", FLOOD_PERIOD);
+    let seconds = started.elapsed().as_secs() + 1;
+    let draws = aggregator.counters()["outlier_draws"];
+    let lines = aggregator.log().iter().filter(|line| line.contains("all replicas of a shard are outliers"));
+    let lines = lines.count() as u64;
+    assert!(draws > 2 * seconds, "all replicas were outliers only {draws} times");
+    assert!((1..=seconds).contains(&lines), "{lines} lines in {seconds} s for {draws} draws");
+}
+
+/// Answers every part at once until `hangs` is set; from then on, parts are only read.
+fn answer_until(leaf_server: LeafServer, hangs: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        for stream in leaf_server.listener.incoming().map_while(Result::ok) {
+            let hangs = hangs.clone();
+            let mut connection = LeafConnection { stream };
+            thread::spawn(move || {
+                while let Some((letter, rest)) = connection.next_frame() {
+                    if letter == 'm' && !hangs.load(Ordering::SeqCst) {
+                        connection.answer(rest.split(' ').next().expect("a part"), "good", "v");
+                    }
+                }
+            });
+        }
+    });
+}
