--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -314,7 +314,7 @@
     attempts_sent attempts_cold attempts_good attempts_bad attempts_rejected attempts_timed_out
     attempts_not_connected attempts_reset attempts_cancelled attempts_not_sent answers_ignored
     list_calls probes_sent probes_answered probes_failed reports_read reports_missing
-    connections_dialled connections_failed connections_up connections_broken connections_spoilt
+    outlier_draws connections_dialled connections_failed connections_up connections_broken connections_spoilt
     connections_closed lists_taken lists_held lists_refused lists_confirmed nodes_forgotten
     lists_unreadable watches_lost ledger_entries ledger_lost ledger_failures ledger_periods_closed
     ledger_exports operations operations_refused reloads reloads_rejected
