--- a/review/standins-2/ledger_load.py
+++ b/review/standins-2/ledger_load.py
@@ -13,7 +13,7 @@
 
 
 class Deployment:
-    def __init__(self, case, ledger, entries, work=0.06):
+    def __init__(self, case, ledger, entries, work=0.06, memory_mb=192):
         """`ledger` are lines for the operator file; `entries` is the number of entries of last month."""
         self.case = case
         self.directory = os.path.join(case.tmp, "ledger")
@@ -26,12 +26,16 @@
         discovery = standins.Discovery(case, instances)
         settings = standins.settings([standins.AUDIT_REPORT, standins.ENVELOPE_SEARCH])
         self.config = standins.config(standins.free_port(), discovery.address, instances, settings)
+        self.config["limits"]["memory_mb"] = memory_mb
         self.operator = "ledger:\n  dir: ledger\n" + ledger
         self.starts = 0
 
-    def start(self):
+    def launch(self):
         self.starts += 1
-        program = standins.Program(self.case, f"mixer-{self.starts}", self.config, self.operator)
+        return standins.Program(self.case, f"mixer-{self.starts}", self.config, self.operator)
+
+    def start(self):
+        program = self.launch()
         program.wait_ready(45)
         return program
 
