--- a/review/standins-2/http2.py
+++ b/review/standins-2/http2.py
@@ -1,7 +1,6 @@
-"""As much of HTTP/2 and gRPC as a Flight leaf server and a gateway need. Header blocks are written as literals; those that
+"""As much of HTTP/2 and gRPC as a Flight leaf server needs. Header blocks are written as literals; those that
 are received are not decoded: a call is known by its message."""
 
-import socket
 import struct
 import threading
 
@@ -84,34 +83,3 @@
                 raise EOFError
             if kind in (DATA, HEADERS, RST_STREAM):
                 return kind, flags, number, payload
-
-
-class Gateway:
-    """A gateway: one call at a time on one connection."""
-
-    def __init__(self, address):
-        self.address = address
-        self.connection = Connection(socket.create_connection(address, timeout=10))
-        self.connection.stream.sendall(PREFACE)
-        self.connection.send(SETTINGS, 0, 0)
-        self.next_stream = 1
-
-    def do_get(self, ticket, timeout_ms):
-        """Calls `DoGet`. Returns the data of the answer and the frames' header blocks, the trailers last."""
-        number, self.next_stream = self.next_stream, self.next_stream + 2
-        fields = [(":method", "POST"), (":scheme", "http"),
-                  (":path", "/arrow.flight.protocol.FlightService/DoGet"), (":authority", "gateway"),
-                  ("content-type", "application/grpc"), ("te", "trailers"), ("grpc-timeout", f"{timeout_ms}m")]
-        self.connection.send(HEADERS, END_HEADERS, number, header_block(fields))
-        self.connection.send(DATA, END_STREAM, number, grpc_message(bytes_field(1, ticket)))
-        data, blocks = b"", []
-        while True:
-            kind, flags, stream, payload = self.connection.read()
-            if stream != number:
-                continue
-            if kind == DATA:
-                data += payload
-            elif kind == HEADERS:
-                blocks.append(payload)
-            if kind == RST_STREAM or flags & END_STREAM:
-                return data, blocks
--- a/review/standins-2/ledger_load.py
+++ b/review/standins-2/ledger_load.py
@@ -43,37 +43,11 @@
         """Asks the mixer, which owns the ledger, for the export, as an operator does."""
         path = os.path.join(standins.ROOT, "target", "release", "sailmux")
         self.case.record("operator", f"ledger export {period}")
-        return subprocess.Popen([path, "ledger", "export", self.directory, period, "--format", "csv"],
-                                cwd=standins.ROOT, env=standins.clean_environment(), stdin=subprocess.DEVNULL,
-                                stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
-
-    def wait_intent(self, timeout=10.0):
-        """Waits until the mixer has taken the request up: its intent is in the journal."""
-        deadline = time.monotonic() + timeout
-        newest = sorted(name for name in os.listdir(self.directory) if name.startswith("seg-"))[-1]
-        path = os.path.join(self.directory, newest)
-        while time.monotonic() < deadline:
-            with open(path, "rb") as segment:
-                segment.seek(max(0, os.path.getsize(path) - 65536))
-                if b"n0-e2-" in segment.read():
-                    return
-            time.sleep(0.01)
-        raise standins.CouldNotRun("the mixer has not begun the export")
-
-    def recorded(self):
-        """The queries of this case in the ledger that are whole, and its gaps, read with `ledger tail`."""
-        result = standins.command(self.case, "ledger", "tail", self.directory, "-n", "20000")
-        if result.returncode != 0:
-            raise standins.CouldNotRun(f"ledger tail: {result.stderr[-300:]}")
-        whole, gaps = {}, []
-        for line in result.stdout.splitlines():
-            words = line.split()
-            if len(words) > 4 and words[1] == "entry" and words[4].startswith("q-") and ", whole," in line:
-                name = words[4].rstrip(":")
-                whole[name] = whole.get(name, 0) + 1
-            elif len(words) > 1 and words[1] == "gap":
-                gaps.append(line.strip())
-        return whole, gaps
+        export = subprocess.Popen([path, "ledger", "export", self.directory, period, "--format", "csv"],
+                                  cwd=standins.ROOT, env=standins.clean_environment(), stdin=subprocess.DEVNULL,
+                                  stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        self.case.commands.append(export)
+        return export
 
 
 class Load:
@@ -111,7 +85,3 @@
         self.stopping = True
         for thread in self.threads:
             thread.join(20)
-
-    def whole(self):
-        with self.lock:
-            return sorted(name for name, (_, answer) in self.answers.items() if answer.is_whole())
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -46,6 +46,7 @@
         self.record_file = open(os.path.join(folder, "record.txt"), "w")
         self.lock = threading.Lock()
         self.programs = []
+        self.commands = []
         self.record("case", f"{os.path.basename(folder)}, TROUBLE={int(self.trouble)}")
 
     def now(self):
@@ -68,6 +69,9 @@
     def close(self):
         for program in self.programs:
             program.kill()
+        for command in self.commands:
+            command.kill()
+            command.wait()
         shutil.rmtree(self.tmp, ignore_errors=True)
         with self.lock:
             self.record_file.close()
