Export corrections from the book: those of a removed segment were in no export

Cause: compaction kept a segment for its entries alone, and an export read its rows from the segments that still exist.

Compaction owes nothing to a correction. New in the log: `ledger segments removed`, which tells a removed segment from a correction that was never recorded.

--- a/src/aggregator/ledger_entries.rs
+++ b/src/aggregator/ledger_entries.rs
@@ -62,7 +62,7 @@
             LedgerEvent::WriteFailed(_) => counters.ledger_write_failures += 1,
             LedgerEvent::PeriodClosed(_) => counters.ledger_periods_closed += 1,
             LedgerEvent::ExportFinished(_) => counters.ledger_exports += 1,
-            LedgerEvent::Durable(_) | LedgerEvent::Recovered => {}
+            LedgerEvent::Durable(_) | LedgerEvent::Recovered | LedgerEvent::SegmentsRemoved(_) => {}
         }
     }
 }
--- a/src/ledger/export.rs
+++ b/src/ledger/export.rs
@@ -2,8 +2,8 @@
 //! turns it into bytes.
 
 use super::accounts::{Account, BillingLine, Totals, Usage};
-use super::book::{Book, ExportRecord, SequenceRange};
-use super::record::{Correction, Entry, Record};
+use super::book::{BilledCorrection, Book, ExportRecord, SequenceRange};
+use super::record::{Correction, Entry};
 use serde_json::{Value, json};
 
 /// The record from which a row of an export is made.
@@ -55,16 +55,8 @@
         }
     }
 
-    /// Adds a record if it is billed in the export's period. The record must already be applied to `book`.
-    pub(super) fn add(&mut self, sequence: u64, record: &Record, book: &Book) {
-        match record {
-            Record::Entry(entry) => self.add_entry(sequence, entry, book),
-            Record::Correction(correction) => self.add_correction(sequence, correction, book),
-            _ => {}
-        }
-    }
-
-    fn add_entry(&mut self, sequence: u64, entry: &Entry, book: &Book) {
+    /// Adds an entry if it is billed in the export's period. The entry must already be applied to `book`.
+    pub(super) fn add_entry(&mut self, sequence: u64, entry: &Entry, book: &Book) {
         let (period, late) = book.billed_in(entry.at);
         if period.to_string() != self.period {
             return;
@@ -80,13 +72,19 @@
         self.rows.push(BilledRow { sequence, record: BilledRecord::Entry(entry.clone()) });
     }
 
-    fn add_correction(&mut self, sequence: u64, correction: &Correction, book: &Book) {
-        let (period, _) = book.billed_in(correction.at);
-        if period.to_string() == self.period {
-            self.rows.push(BilledRow { sequence, record: BilledRecord::Correction(correction.clone()) });
+    /// Adds a correction if it is billed in the export's period.
+    pub(super) fn add_correction(&mut self, billed: &BilledCorrection) {
+        if billed.billed_in.to_string() == self.period {
+            let record = BilledRecord::Correction(billed.correction.clone());
+            self.rows.push(BilledRow { sequence: billed.sequence, record });
         }
     }
 
+    /// Puts the rows into the order of their sequence numbers.
+    pub(super) fn sort_rows(&mut self) {
+        self.rows.sort_unstable_by_key(|row| row.sequence);
+    }
+
     /// The rows in the order of their sequence numbers.
     pub(super) fn rows(&self) -> &[BilledRow] {
         &self.rows
--- a/src/ledger/store/exports.rs
+++ b/src/ledger/store/exports.rs
@@ -73,15 +73,25 @@
         self.commit()
     }
 
-    /// Collects the content of an export. The result is always the same, since the records never change.
+    /// Collects the content of an export. The result is always the same, since the records never change. Corrections are
+    /// taken from the book, which has them even if their segments have been removed.
     fn export_content(&self, started: &ExportRecord) -> Result<Export, LedgerError> {
         let mut content = Export::new(started);
         let SequenceRange { after, up_to } = started.range;
         recovery::load(&self.disk, self.book.calendar(), Start::FirstRecord, |sequence, record, book| {
-            if sequence > after && sequence <= up_to {
-                content.add(sequence, record, book);
+            if let Record::Entry(entry) = record
+                && sequence > after
+                && sequence <= up_to
+            {
+                content.add_entry(sequence, entry, book);
             }
         })?;
+        for billed in self.book.corrections() {
+            if billed.sequence > after && billed.sequence <= up_to {
+                content.add_correction(billed);
+            }
+        }
+        content.sort_rows();
         Ok(content)
     }
 }
--- a/src/ledger/writer/event.rs
+++ b/src/ledger/writer/event.rs
@@ -15,6 +15,8 @@
     EntriesLost(Gap),
     /// A period was closed; holds its name, such as `2026-11`.
     PeriodClosed(String),
+    /// Compaction removed this number of segments.
+    SegmentsRemoved(usize),
     /// An export is complete and durable; holds its name.
     ExportFinished(String),
 }
--- a/src/ledger/writer/mod.rs
+++ b/src/ledger/writer/mod.rs
@@ -206,8 +206,10 @@
                 Err(error) => return self.report_failure(&error),
             }
         }
-        if let Err(error) = self.store.compact() {
-            self.report_failure(&error);
+        match self.store.compact() {
+            Ok(0) => {}
+            Ok(removed) => (self.emit)(LedgerEvent::SegmentsRemoved(removed)),
+            Err(error) => self.report_failure(&error),
         }
     }
 
--- a/src/net/ledger_writer.rs
+++ b/src/net/ledger_writer.rs
@@ -168,6 +168,7 @@
             );
         }
         LedgerEvent::PeriodClosed(period) => info!(period, "billing period closed"),
+        LedgerEvent::SegmentsRemoved(segments) => info!(segments, "ledger segments removed"),
         LedgerEvent::ExportFinished(name) => info!(name, "billing period exported"),
     }
 }
