Compaction judges an entry by the period in which it was billed and its finished exports

What callers saw: rows of a closed period are in no export, in two ways. A period that was exported while it was open and then closed without an export lost its later entries at the next compaction; an entry that came after its own period had been closed was lost when the period in which it is billed was closed too. And the directory grew without end: while the open period had one entry, nothing was removed.

A period counted as exported as soon as any of its exports was finished, and the period of an entry was that in which it would be billed now, which for each entry of a closed period is the open one.

An entry is needed unless the period in which it was billed when it was recorded is closed and the finished exports of that period cover it.

--- a/src/ledger/book.rs
+++ b/src/ledger/book.rs
@@ -237,6 +237,21 @@
         due
     }
 
+    /// Whether a record that is billed in a period is in a finished export and the period is closed.
+    pub(super) fn is_exported(&self, period: Period, sequence: u64) -> bool {
+        self.period_state(period) == PeriodState::Closed && sequence <= self.exported_up_to(period)
+    }
+
+    /// The last record that the finished exports of a period cover without a break.
+    fn exported_up_to(&self, period: Period) -> u64 {
+        let period = period.to_string();
+        let exports = || self.exports.iter().filter(|export| export.period == period);
+        let first_unfinished =
+            exports().filter(|export| !export.is_finished()).map(|export| export.range.after);
+        let last_finished = exports().map(|export| export.range.up_to).max();
+        first_unfinished.min().or(last_finished).unwrap_or(0)
+    }
+
     /// The next export of a period, which covers the records after its previous export up to the newest one. `None` if
     /// nothing in the period has changed since.
     pub fn next_export(&self, period: Period, format: &str) -> Option<ExportRecord> {
--- a/src/ledger/store/compaction.rs
+++ b/src/ledger/store/compaction.rs
@@ -1,27 +1,32 @@
 //! Removes segments that are no longer needed, which limits the ledger's disk usage.
 
-use super::super::book::PeriodState;
+use super::super::book::Book;
 use super::super::disk::Disk;
 use super::super::error::LedgerError;
-use super::super::period::Period;
 use super::super::record::Record;
-use super::{Store, file_names, recovery};
+use super::recovery::{self, Start};
+use super::{Store, file_names};
+use std::ops::ControlFlow;
 
 impl<D: Disk> Store<D> {
-    /// Removes the oldest sealed segments whose entries are all in closed and exported periods, and the snapshots that
-    /// are only needed with them. Returns the number of removed segments.
+    /// Removes the oldest sealed segments without an entry that an export still has to contain, and the snapshots that are
+    /// only needed with them. Everything else in a segment (corrections, gaps, closed periods, exports) is in the
+    /// snapshots. Returns the number of removed segments.
     ///
     /// # Errors
     /// The disk failed, or a sealed segment is damaged.
     pub fn compact(&mut self) -> Result<usize, LedgerError> {
-        let unfinished = self.unfinished_periods();
         let names = self.disk.list()?;
-        let newest_snapshot = file_names::snapshot_sequences(&names).last().copied().unwrap_or(0);
+        let snapshots = file_names::snapshot_sequences(&names);
         let segments = file_names::segment_sequences(&names);
+        // Without a snapshot directly before it, a segment could not be read once the ones before it are removed.
+        let has_snapshot = |next: &u64| snapshots.contains(&(next - 1));
+        let ends: Vec<u64> = segments.iter().copied().skip(1).take_while(has_snapshot).collect();
+        let Some(last_end) = ends.last().copied() else { return Ok(0) };
+        let first_needed = self.first_needed_entry(last_end)?.unwrap_or(last_end);
         let mut removed = 0;
-        for pair in segments.windows(2) {
-            let [first, next] = [pair[0], pair[1]];
-            if next > newest_snapshot + 1 || self.is_segment_needed(first, &unfinished)? {
+        for (first, next) in segments.into_iter().zip(ends) {
+            if next > first_needed {
                 break;
             }
             self.disk.remove(&file_names::segment(first))?;
@@ -31,28 +36,24 @@
         Ok(removed)
     }
 
-    /// Periods with billing lines that are open or not yet exported.
-    fn unfinished_periods(&self) -> Vec<Period> {
-        let is_exported = |period: &Period| {
-            let period = period.to_string();
-            self.book.exports().iter().any(|export| export.period == period && export.is_finished())
-        };
-        let is_unfinished =
-            |period: &Period| self.book.period_state(*period) == PeriodState::Open || !is_exported(period);
-        let periods = self.book.totals().keys().map(|line| line.period);
-        periods.filter(is_unfinished).collect()
-    }
-
-    /// Whether a segment contains an entry that was made or is billed in an unfinished period.
-    fn is_segment_needed(&self, first: u64, unfinished: &[Period]) -> Result<bool, LedgerError> {
-        let scanned = recovery::scan_segment(&self.disk, &file_names::segment(first), first, false)?;
-        let is_needed = |record: &Record| {
-            let Record::Entry(entry) = record else { return false };
-            let own = self.book.calendar().period(entry.at);
-            let (billed, _) = self.book.billed_in(entry.at);
-            unfinished.contains(&own) || unfinished.contains(&billed)
+    /// The sequence number of the first entry before the record `end` that an export still has to contain.
+    fn first_needed_entry(&self, end: u64) -> Result<Option<u64>, LedgerError> {
+        let mut first_needed = None;
+        let visit = |sequence: u64, record: &Record, book_after: &Book| {
+            if sequence >= end {
+                return ControlFlow::Break(());
+            }
+            let Record::Entry(entry) = record else { return ControlFlow::Continue(()) };
+            // The period is that of the entry's own time in the journal: periods that were closed later do not change it.
+            let (billed_in, _) = book_after.billed_in(entry.at);
+            if self.book.is_exported(billed_in, sequence) {
+                return ControlFlow::Continue(());
+            }
+            first_needed = Some(sequence);
+            ControlFlow::Break(())
         };
-        Ok(scanned.records.iter().any(|scanned| is_needed(&scanned.record)))
+        recovery::visit(&self.disk, self.book.calendar(), Start::FirstRecord, visit)?;
+        Ok(first_needed)
     }
 
     /// Removes the snapshots that are older than the one directly before the oldest segment.
--- a/src/ledger/store/recovery.rs
+++ b/src/ledger/store/recovery.rs
@@ -7,6 +7,7 @@
 use super::super::period::Calendar;
 use super::super::record::Record;
 use super::{file_names, snapshot};
+use std::ops::ControlFlow;
 
 /// The position at which reading starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +54,19 @@
     calendar: &Calendar,
     start: Start,
     mut each: impl FnMut(u64, &Record, &Book),
+) -> Result<Loaded, LedgerError> {
+    visit(disk, calendar, start, |sequence, record, book| {
+        each(sequence, record, book);
+        ControlFlow::Continue(())
+    })
+}
+
+/// Reads a ledger like [`load`], until `each` breaks. What is loaded then ends with the record of that call.
+pub(super) fn visit(
+    disk: &impl Disk,
+    calendar: &Calendar,
+    start: Start,
+    mut each: impl FnMut(u64, &Record, &Book) -> ControlFlow<()>,
 ) -> Result<Loaded, LedgerError> {
     let names = disk.list()?;
     let segments = file_names::segment_sequences(&names);
@@ -72,8 +86,10 @@
         for ScannedRecord { sequence, record, .. } in &scanned.records {
             if *sequence == book.sequence + 1 {
                 book.apply(*sequence, record);
-                each(*sequence, record, &book);
                 records += 1;
+                if each(*sequence, record, &book).is_break() {
+                    return Ok(Loaded { book, last_segment, records });
+                }
             }
         }
         if next.is_none() {
--- a/tests/ledger_compaction.rs
+++ b/tests/ledger_compaction.rs
@@ -11,6 +11,7 @@
 const NOVEMBER_MS: UnixMs = 1_794_715_200_000;
 const DAY_MS: UnixMs = 86_400_000;
 const DECEMBER_MS: UnixMs = NOVEMBER_MS + 20 * DAY_MS;
+const JANUARY_MS: UnixMs = NOVEMBER_MS + 50 * DAY_MS;
 
 fn calendar() -> Calendar {
     Calendar::new("Asia/Taipei").expect("valid time zone")
@@ -69,6 +70,11 @@
         .expect("corrected");
 }
 
+fn segments(disk: &FaultyDisk) -> Vec<String> {
+    let names = disk.list().expect("directory is listed");
+    names.into_iter().filter(|name| name.starts_with("seg-")).collect()
+}
+
 /// The rows of all exports in the directory, each as its kind, query and number of queries, with its occurrences.
 fn exported_rows(disk: &FaultyDisk) -> BTreeMap<(String, String, i64), usize> {
     let mut rows = BTreeMap::new();
@@ -167,3 +173,52 @@
         }
     }
 }
+
+// Guards against rows that are in no export: a period was taken for exported as soon as it had any export, so that the
+// segments with its later entries were removed.
+#[test]
+fn entries_after_an_early_export_of_their_period_are_kept_until_exported() {
+    let disk = FaultyDisk::default();
+    let mut store = open(&disk, NOVEMBER_MS);
+    append_entries(&mut store, "early-", 10, NOVEMBER_MS);
+    export(&mut store, "2026-11", NOVEMBER_MS).expect("an export");
+    append_entries(&mut store, "later-", 20, NOVEMBER_MS);
+    store.close(period("2026-11"), DECEMBER_MS).expect("closed");
+    store.compact().expect("compacted");
+    export(&mut store, "2026-11", DECEMBER_MS).expect("an export");
+    let rows = exported_rows(&disk);
+    assert_eq!(rows.len(), 30, "{rows:?}");
+    assert!(rows.values().all(|count| *count == 1), "{rows:?}");
+}
+
+// Guards against rows that are in no export: the period in which a late entry is billed was reckoned with the periods that
+// were closed at the compaction, not with those that were closed when it was recorded.
+#[test]
+fn late_entries_are_kept_until_the_period_in_which_they_are_billed_is_exported() {
+    let disk = FaultyDisk::default();
+    let mut store = november_exported(&disk);
+    append_entries(&mut store, "late-", 20, NOVEMBER_MS);
+    store.close(period("2026-12"), JANUARY_MS).expect("closed");
+    store.compact().expect("compacted");
+    export(&mut store, "2026-12", JANUARY_MS).expect("an export");
+    let rows = exported_rows(&disk);
+    assert_eq!(rows.len(), 40, "{rows:?}");
+    assert!(rows.values().all(|count| *count == 1), "{rows:?}");
+}
+
+// Guards against a directory that grows without end: no segment was removed while the open period had an entry.
+#[test]
+fn exported_segments_are_removed_while_the_open_period_has_entries() {
+    let disk = FaultyDisk::default();
+    let mut store = november_exported(&disk);
+    let exported = segments(&disk);
+    append_entries(&mut store, "december-", 20, DECEMBER_MS);
+    store.compact().expect("compacted");
+    let left = segments(&disk);
+    let kept = exported.iter().filter(|name| left.contains(name)).count();
+    assert!(exported.len() >= 3 && kept <= 1, "{exported:?}, then {left:?}");
+    drop(store);
+    let mut store = open(&disk.after(Crash::Kill), DECEMBER_MS);
+    assert_eq!(store.compact().expect("compacted"), 0, "segments of the open period are kept");
+    assert_eq!(store.book().totals().values().map(|usage| usage.queries).sum::<u64>(), 40);
+}
