--- a/src/ledger/book.rs
+++ b/src/ledger/book.rs
@@ -237,6 +237,23 @@
         due
     }
 
+    /// Closed periods with records that no export covers yet, oldest first.
+    pub fn unexported_closed_periods(&self) -> Vec<Period> {
+        let closed = self.closed_periods.keys().copied();
+        closed.filter(|period| self.has_unexported_records(*period)).collect()
+    }
+
+    fn has_unexported_records(&self, period: Period) -> bool {
+        self.last_changes.get(&period).is_some_and(|last| *last > self.export_starts_after(period))
+    }
+
+    /// The last record that the exports of a period cover, finished or not.
+    fn export_starts_after(&self, period: Period) -> u64 {
+        let period = period.to_string();
+        let exports = self.exports.iter().filter(|export| export.period == period);
+        exports.map(|export| export.range.up_to).max().unwrap_or(0)
+    }
+
     /// Whether a record that is billed in a period is in a finished export and the period is closed.
     pub(super) fn is_exported(&self, period: Period, sequence: u64) -> bool {
         self.period_state(period) == PeriodState::Closed && sequence <= self.exported_up_to(period)
@@ -255,15 +272,14 @@
     /// The next export of a period, which covers the records after its previous export up to the newest one. `None` if
     /// nothing in the period has changed since.
     pub fn next_export(&self, period: Period, format: &str) -> Option<ExportRecord> {
-        let period_name = period.to_string();
-        let previous_exports = || self.exports.iter().filter(|export| export.period == period_name);
-        let after = previous_exports().map(|export| export.range.up_to).max().unwrap_or(0);
-        if self.last_changes.get(&period).is_none_or(|last| *last <= after) {
+        if !self.has_unexported_records(period) {
             return None;
         }
+        let after = self.export_starts_after(period);
+        let period_name = period.to_string();
         let aggregator = sanitize_for_file_name(&self.aggregator);
         let epoch = self.epoch;
-        let number = previous_exports().count() + 1;
+        let number = self.exports.iter().filter(|export| export.period == period_name).count() + 1;
         Some(ExportRecord {
             name: format!("{aggregator}-e{epoch}-{period_name}-{number:04}"),
             period: period_name,
--- a/src/ledger/writer/mod.rs
+++ b/src/ledger/writer/mod.rs
@@ -11,12 +11,10 @@
 pub use queue::{LedgerHandle, NumberedRecord, QueueReceiver, queue};
 
 use super::UnixMs;
-use super::book::ExportRecord;
 use super::disk::Disk;
 use super::error::LedgerError;
 use super::export_format::Format;
 use super::options::Options;
-use super::period::Period;
 use super::record::Record;
 use super::store::Store;
 use lost::LostEntries;
@@ -197,14 +195,10 @@
         }
     }
 
-    /// Closes the periods that are due, exports them if so configured, and compacts the ledger.
+    /// Closes the periods that are due, exports closed ones if so configured, and compacts the ledger.
     pub fn close_due_periods(&mut self, now: UnixMs) {
-        for period in self.store.book().due_periods(now, self.grace_ms) {
-            match self.close_and_export(period, now) {
-                Ok(Some(export)) => (self.emit)(LedgerEvent::ExportFinished(export.name)),
-                Ok(None) => {}
-                Err(error) => return self.report_failure(&error),
-            }
+        if let Err(error) = self.close_and_export(now) {
+            return self.report_failure(&error);
         }
         match self.store.compact() {
             Ok(0) => {}
@@ -213,13 +207,19 @@
         }
     }
 
-    fn close_and_export(&mut self, period: Period, now: UnixMs) -> Result<Option<ExportRecord>, LedgerError> {
-        self.store.close(period, now)?;
-        (self.emit)(LedgerEvent::PeriodClosed(period.to_string()));
-        match self.export_format {
-            Some(format) => self.store.export(period, format, now),
-            None => Ok(None),
+    fn close_and_export(&mut self, now: UnixMs) -> Result<(), LedgerError> {
+        for period in self.store.book().due_periods(now, self.grace_ms) {
+            self.store.close(period, now)?;
+            (self.emit)(LedgerEvent::PeriodClosed(period.to_string()));
+        }
+        let Some(format) = self.export_format else { return Ok(()) };
+        // Among them are periods whose export a crash has prevented, as it came directly after their closing.
+        for period in self.store.book().unexported_closed_periods() {
+            if let Some(export) = self.store.export(period, format, now)? {
+                (self.emit)(LedgerEvent::ExportFinished(export.name));
+            }
         }
+        Ok(())
     }
 
     fn report_failure(&mut self, error: &LedgerError) {
--- a/tests/ledger_compaction.rs
+++ b/tests/ledger_compaction.rs
@@ -6,6 +6,7 @@
 use common::faulty::*;
 use sailmux::ledger::*;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// 2026-11-15T12:00:00 in Taipei.
 const NOVEMBER_MS: UnixMs = 1_794_715_200_000;
@@ -222,3 +223,76 @@
     assert_eq!(store.compact().expect("compacted"), 0, "segments of the open period are kept");
     assert_eq!(store.book().totals().values().map(|usage| usage.queries).sum::<u64>(), 40);
 }
+
+// Guards against a closed period that is never exported: a kill between the closing and the start of the export left it so,
+// as only open periods were looked at.
+#[test]
+fn a_kill_between_the_closing_of_a_period_and_its_export_delays_the_export() {
+    let prepared = || {
+        let disk = FaultyDisk::default();
+        let mut store = open(&disk, NOVEMBER_MS);
+        append_entries(&mut store, "november-", 20, NOVEMBER_MS);
+        drop(store);
+        disk
+    };
+    let play = |disk: &FaultyDisk| {
+        let store = Store::open(disk.clone(), calendar(), options(), "n1", DECEMBER_MS)?.0;
+        let mut failures = 0;
+        let mut writer = Writer::new(store, Duration::ZERO, &options(), |event| {
+            failures += usize::from(matches!(event, LedgerEvent::WriteFailed(_)));
+        });
+        writer.close_due_periods(DECEMBER_MS);
+        drop(writer);
+        Ok::<usize, LedgerError>(failures)
+    };
+    let operations = {
+        let disk = prepared();
+        disk.crash_at(usize::MAX);
+        assert_eq!(play(&disk).expect("no fault"), 0);
+        disk.steps()
+    };
+    for crash_at in 1..=operations {
+        for crash in [Crash::Kill, Crash::Power(0), Crash::Power(usize::MAX)] {
+            let disk = prepared();
+            disk.crash_at(crash_at);
+            let _ = play(&disk);
+            let disk = disk.after(crash);
+            assert_eq!(play(&disk).expect("opened"), 0, "{crash_at} {crash:?}");
+            let book = read_all(&disk, &calendar(), |_, _, _| {}).expect("readable");
+            let finished: Vec<bool> = book.exports().iter().map(ExportRecord::is_finished).collect();
+            assert_eq!(finished, [true], "{crash_at} {crash:?}");
+        }
+    }
+}
+
+// Guards against a gap, a closing, an export or a correction's idempotency key that goes with a removed segment.
+#[test]
+fn a_removed_segment_leaves_everything_but_entries_in_the_book() {
+    let disk = FaultyDisk::default();
+    let mut store = november_exported(&disk);
+    let gap = Gap { from: DECEMBER_MS, to: DECEMBER_MS, entries: 3, reason: "the disk failed".to_owned() };
+    store.record_gap(gap).expect("written");
+    for number in 1..=6 {
+        correct(&mut store, number, DECEMBER_MS);
+    }
+    append_entries(&mut store, "december-", 20, DECEMBER_MS);
+    let before = store.book().clone();
+    assert!(store.compact().expect("compacted") > 0, "nothing was removed");
+    drop(store);
+    let disk = disk.after(Crash::Power(0));
+    for book in [
+        open(&disk, DECEMBER_MS).book().clone(),
+        read_all(&disk, &calendar(), |_, _, _| {}).expect("readable"),
+    ] {
+        assert_eq!(book.gaps(), before.gaps());
+        assert_eq!(book.corrections(), before.corrections());
+        assert_eq!(book.exports(), before.exports());
+        assert_eq!(book.period_state(period("2026-11")), PeriodState::Closed);
+        assert_eq!(book.totals(), before.totals());
+    }
+    let repeated = before.corrections()[0].correction.clone();
+    let outcome =
+        open(&disk, DECEMBER_MS).perform(Request::Correct(repeated), DECEMBER_MS).expect("performed");
+    let sequence = before.corrections()[0].sequence;
+    assert!(matches!(outcome, RequestOutcome::Corrected { sequence: found, .. } if found == sequence));
+}
