Answer the queries that arrive after SIGTERM before the earliest SIGKILL

Cause: a query that arrives during a shutdown kept the whole time of its client or class, here 6 s. Nobody compared that with the time at which the process may be killed: the longest deadline, counted as 3 s at most, and 0.7 s after SIGTERM.

Change: at SIGTERM the aggregator computes its deadlines from the classes (aggregator::shutdown_deadlines). The balancer limits the time of the queries that arrive from then on (Balancer::limit_answers_to): they end like any other at that limit, and one that arrives later is rejected at once and sends nothing. The limit is apart from the time that the client told, from which the balancer infers retries. Rejections during a shutdown ask the client to come back after a median latency, not after the maximum: another aggregator can serve it at once.

Evidence: the log has `graceful shutdown` with replies_within_ms now, and at level debug `query during shutdown` with the time that each query has.

--- a/src/aggregator/effect.rs
+++ b/src/aggregator/effect.rs
@@ -88,7 +88,7 @@
 }
 
 /// A change of the aggregator's state that is logged.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
     /// A replica's outlier state or the balancer's load shedding has changed.
     Balancer(balancer::LogEvent),
@@ -102,7 +102,17 @@
         reason: balancer::RejectReason,
     },
     /// A graceful shutdown has begun.
-    ShutdownRequested,
+    ShutdownRequested {
+        /// Time from now within which queries that arrive are answered.
+        replies_within: Millis,
+    },
+    /// A query has arrived during a graceful shutdown.
+    QueryDuringShutdown {
+        /// The client's identifier of the query.
+        request_id: Arc<str>,
+        /// Time from now within which it is answered, at most what the client allows; 0 or less if it is rejected.
+        answer_within: Millis,
+    },
     /// A connection to a leaf server has failed or was closed by the leaf server.
     LeafConnectionEnded {
         /// The balancer's identifier of the leaf server.
--- a/src/aggregator/lifecycle.rs
+++ b/src/aggregator/lifecycle.rs
@@ -3,6 +3,7 @@
 
 use super::records::{Client, ConnectionUsage, Gateway};
 use super::reduce::Reduction;
+use super::shutdown_deadlines::ShutdownDeadlines;
 use super::timer::Timer;
 use super::{Effect, GatewayId, LogEvent};
 use crate::clock::Millis;
@@ -185,7 +186,11 @@
             _ => self.now,
         };
         let has_successor = self.state.siblings.any_ready;
-        self.effects.push(Effect::Log(LogEvent::ShutdownRequested));
+        let deadlines = ShutdownDeadlines::new(self.now, &self.state.settings.balancer.classes);
+        self.state.shutdown_deadlines = Some(deadlines);
+        self.state.balancer.limit_answers_to(deadlines.replies);
+        let replies_within = deadlines.replies - self.now;
+        self.effects.push(Effect::Log(LogEvent::ShutdownRequested { replies_within }));
         self.enter_lifecycle(if has_successor {
             Lifecycle::HotRestarting { since }
         } else {
--- a/src/aggregator/mod.rs
+++ b/src/aggregator/mod.rs
@@ -32,6 +32,7 @@
 mod reply;
 mod request_ids;
 mod send_deadlines;
+mod shutdown_deadlines;
 mod siblings;
 mod state;
 mod timer;
--- a/src/aggregator/queries.rs
+++ b/src/aggregator/queries.rs
@@ -4,11 +4,13 @@
 use super::records::{AttemptStage, Part, Query};
 use super::reduce::Reduction;
 use super::timer::Timer;
-use super::{AttemptId, ClientId, NewPart, NewQuery, QueryError, Reply};
+use super::{AttemptId, ClientId, Effect, LogEvent, NewPart, NewQuery, QueryError, Reply};
 use crate::balancer::{self, Outcome, PartId, PartSpec, QueryId};
+use crate::clock::Millis;
 use crate::ledger::{self, QuotaShare};
 use bytes::Bytes;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 impl Reduction<'_> {
     pub(super) fn query_received(&mut self, client: ClientId, new: NewQuery) {
@@ -42,6 +44,7 @@
         let class_deadline = state.settings.balancer.classes[indices.class].deadline;
         // The balancer ends every query by the deadline of its class.
         let time_left = new.time_left.map_or(class_deadline, |time_left| time_left.min(class_deadline));
+        let deadline_at = self.query_deadline(&new.request_id, time_left);
         let parts: Vec<PartSpec> = new.parts.iter().map(|part| self.add_part(query, part)).collect();
 
         let state = &mut *self.state;
@@ -56,13 +59,13 @@
             idempotency_key: new.idempotency_key,
             parts: parts.iter().map(|part| part.part).collect(),
             was_sent: false,
-            deadline_at: self.now + time_left,
+            deadline_at,
         };
         state.queries.insert(query, record);
         if let Some(client) = state.clients.get_mut(&client) {
             client.query = Some(query);
         }
-        state.set_timer(self.now + time_left, Timer::QueryDeadline(query));
+        state.set_timer(deadline_at, Timer::QueryDeadline(query));
         self.balancer_events.push_back(balancer::Event::Query {
             query,
             class: indices.class,
@@ -73,6 +76,18 @@
         });
     }
 
+    /// The time by which a query with this time left is answered. During a shutdown that is before the process may be
+    /// killed.
+    fn query_deadline(&mut self, request_id: &Arc<str>, time_left: Millis) -> Millis {
+        let own_deadline = self.now + time_left;
+        let Some(shutdown) = self.state.shutdown_deadlines else { return own_deadline };
+        let deadline = own_deadline.min(shutdown.replies);
+        let answer_within = deadline - self.now;
+        let request_id = request_id.clone();
+        self.effects.push(Effect::Log(LogEvent::QueryDuringShutdown { request_id, answer_within }));
+        deadline.max(self.now)
+    }
+
     fn add_part(&mut self, query: QueryId, new: &NewPart) -> PartSpec {
         let part = PartId(self.state.allocate_id());
         let record = Part {
--- a/src/aggregator/state.rs
+++ b/src/aggregator/state.rs
@@ -6,6 +6,7 @@
 use super::records::{Attempt, Client, Gateway, LeafServer, Part, Query};
 use super::rejections::RejectionCounters;
 use super::request_ids::{RequestIds, SharedRequestIds};
+use super::shutdown_deadlines::ShutdownDeadlines;
 use super::timer::{Timer, TimerQueue};
 use super::{AttemptId, ClientId, ConnectionId, Counters, GatewayId, Lifecycle, Limits, Siblings};
 use crate::balancer::{Balancer, PartId, QueryId, ReplicaId, SettingsError};
@@ -45,6 +46,8 @@
     pub(super) last_id: u64,
 
     pub(super) lifecycle: Lifecycle,
+    /// `None` until a graceful shutdown is requested.
+    pub(super) shutdown_deadlines: Option<ShutdownDeadlines>,
     /// Overrides set by operators on the admin address.
     pub(super) overrides: Overrides,
     pub(super) siblings: Siblings,
@@ -95,6 +98,7 @@
             wall_clock_offset: 0.0,
             last_id: 0,
             lifecycle: Lifecycle::Starting { since: 0.0 },
+            shutdown_deadlines: None,
             overrides: Overrides::default(),
             siblings: Siblings::default(),
             undivided_limits: limits,
--- a/src/balancer/query_arrival.rs
+++ b/src/balancer/query_arrival.rs
@@ -72,7 +72,8 @@
         }
         let no_parts = parts.is_empty().then_some(RejectReason::NoParts);
         let too_late = (late_value == 0.0).then_some(RejectReason::TooLate);
-        if let Some(reason) = no_parts.or(too_late).or(shed) {
+        let past_limit = (self.now >= self.answer_limit).then_some(RejectReason::DeadlineReached);
+        if let Some(reason) = no_parts.or(past_limit).or(too_late).or(shed) {
             return self.finish(id, reason, actions);
         }
         if !times.is_late
@@ -97,7 +98,7 @@
         let time_left = finite_or(arrival.time_left, class.deadline).clamp(0.0, class.deadline);
         // The answer has to be sent before the client gives up, and may be delayed until the next sweep.
         let margin = (SWEEP_TICKS + 1.0) * self.settings.timer_granularity.max(1.0);
-        let answer_by = self.now + time_left - margin;
+        let answer_by = (self.now + time_left).min(self.answer_limit) - margin;
         let full_objective = class.latency_objective + class.objective_stretch * hinted_cost.max(0.0);
         let waited = self.waited_in_earlier_tries(arrival, class, time_left, full_objective, parts);
         let objective = full_objective - waited;
--- a/src/balancer/query_end.rs
+++ b/src/balancer/query_end.rs
@@ -100,7 +100,10 @@
     /// latency.
     fn retry_after(&self, query: &Query) -> Option<Millis> {
         let median = self.latency.median();
-        let is_due_to_load = self.admission.is_shedding() || self.now + median > query.objective_at;
+        // During a shutdown the time is short, but another aggregator can serve the query at once.
+        let is_shutting_down = self.answer_limit.is_finite();
+        let is_late = self.now + median > query.objective_at && !is_shutting_down;
+        let is_due_to_load = self.admission.is_shedding() || is_late;
         let wait = if is_due_to_load { f64::INFINITY } else { median };
         self.settings.max_retry_after.map(|max_wait| max_wait.min(wait))
     }
--- a/src/balancer/state.rs
+++ b/src/balancer/state.rs
@@ -50,6 +50,8 @@
     pub(super) resumed_at: Millis,
     pub(super) next_sweep_at: Option<Millis>,
     pub(super) last_sweep_at: Millis,
+    /// Queries that arrive are answered by then; infinite unless this aggregator is shutting down.
+    pub(super) answer_limit: Millis,
 
     pub(super) endpoints: EndpointSet,
     pub(super) endpoint_watch: EndpointWatch,
@@ -86,6 +88,7 @@
             resumed_at: f64::NEG_INFINITY,
             next_sweep_at: None,
             last_sweep_at: 0.0,
+            answer_limit: f64::INFINITY,
             endpoints: EndpointSet::new(&settings),
             endpoint_watch: EndpointWatch::new(settings.discovery_is_polled),
             latency: LatencyEstimates::new(objectives.shortest),
@@ -127,6 +130,12 @@
         Ok(())
     }
 
+    /// Limits the time of the queries that arrive from now on: each is answered by `at`, and rejected if it arrives later.
+    /// Called when this aggregator shuts down, since it may be killed after that.
+    pub fn limit_answers_to(&mut self, at: Millis) {
+        self.answer_limit = at;
+    }
+
     /// Handles one event and appends the resulting actions to `actions`, in order. Events with unknown ids are
     /// ignored. `now` must not decrease; if it does, the latest time seen is used.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -125,7 +125,12 @@
         LogEvent::QueryRejected { request_id, class, reason } => {
             debug!(query = &**request_id, class = &**class, reason = reason.label(), "query rejected");
         }
-        LogEvent::ShutdownRequested => info!("graceful shutdown: answering the queries in flight"),
+        LogEvent::ShutdownRequested { replies_within } => {
+            info!(replies_within_ms = replies_within, "graceful shutdown: answering the queries in flight");
+        }
+        LogEvent::QueryDuringShutdown { request_id, answer_within } => {
+            debug!(query = &**request_id, answer_within_ms = answer_within, "query during shutdown");
+        }
         LogEvent::LeafConnectionEnded { replica, reason } => {
             info!(replica = replica.0, reason, "leaf connection ended");
         }
--- a/tests/balancer/rejections.rs
+++ b/tests/balancer/rejections.rs
@@ -73,3 +73,20 @@
     harness.run_timer(1.0, 3200.0);
     assert_eq!(reject_reason(&harness, query), Some(RejectReason::DeadlineReached));
 }
+
+/// During a shutdown, a query that arrives in time is answered by the limit, and one that arrives later is rejected at once
+/// and sends nothing. A client's time that the limit cuts short is not taken for that of a retry.
+#[test]
+fn an_answer_limit_ends_queries_by_then_and_rejects_later_ones() {
+    let mut harness = Harness::new(Settings { hedging_allowed: false, ..settings() }, 1);
+    harness.list_replicas(3);
+    harness.balancer.limit_answers_to(1000.0);
+    let (early, _) = harness.query(100.0, &[0]);
+    assert!(!harness.is_rejected(early), "there is time for it");
+    harness.run_timer(100.0, 1000.0);
+    assert_eq!(reject_reason(&harness, early), Some(RejectReason::DeadlineReached));
+    let sent = harness.sends.len();
+    let (late, _) = harness.query(1000.0, &[0]);
+    assert_eq!(reject_reason(&harness, late), Some(RejectReason::DeadlineReached));
+    assert_eq!(harness.sends.len(), sent);
+}
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -7,6 +7,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod discovery;
+mod earliest_kill;
 mod gateways;
 mod leaf_connections;
 mod reload;
