Close every connection before the earliest SIGKILL, however short the longest deadline

What callers saw: where the longest deadline is short, a connection was open at SIGKILL although nothing sent on it could be answered any more: one with a half-read request for 0.95 s, of 0.71 s with a deadline of 10 ms. A request that is completed there is lost.

Cause: the steps of a shutdown are at fixed times (650 ms of grace, 100 ms of rest, 300 ms for a half-read request, 2.5 s for a half-sent Flight call), whenever SIGKILL may come.

Change: 100 ms before the earliest SIGKILL the aggregator closes every connection without a query in progress (Effect::CloseClientNow, CloseGatewayNow). A request that has been received completely is still taken, and rejected at once; one that is received in part gets 408, a call UNAVAILABLE. Resting connections are closed and the listeners stopped 200 ms before SIGKILL if that is earlier than the grace period. A request to close goes to each connection once; it was repeated every 100 ms into a queue of four, which also takes the reply.

--- a/src/aggregator/clients.rs
+++ b/src/aggregator/clients.rs
@@ -131,7 +131,7 @@
         }
     }
 
-    fn close_client(&mut self, client: ClientId) {
+    pub(super) fn close_client(&mut self, client: ClientId) {
         if let Some(record) = self.state.clients.get_mut(&client) {
             record.usage.closing = true;
             self.effects.push(Effect::CloseClient(client));
--- a/src/aggregator/effect.rs
+++ b/src/aggregator/effect.rs
@@ -28,6 +28,11 @@
     /// Close a gateway's connection as soon as no call is in flight on it, and accept no more calls;
     /// [`Event::GatewayClosed`](super::Event::GatewayClosed) confirms it.
     CloseGateway(GatewayId),
+    /// Close a client's connection although a request may have been received in part; the client is told that it was not
+    /// accepted. One that has been received completely is still delivered.
+    CloseClientNow(ClientId),
+    /// Close a gateway's connection although requests may have been received in part, like [`Effect::CloseClientNow`].
+    CloseGatewayNow(GatewayId),
     /// Open a connection to the leaf server at an address.
     Connect(ConnectionId, Arc<str>),
     /// Write a call with one or more parts. Counts as a message of [`Event::Written`](super::Event::Written).
--- a/src/aggregator/lifecycle.rs
+++ b/src/aggregator/lifecycle.rs
@@ -5,7 +5,7 @@
 use super::reduce::Reduction;
 use super::shutdown_deadlines::ShutdownDeadlines;
 use super::timer::Timer;
-use super::{Effect, GatewayId, LogEvent};
+use super::{ClientId, Effect, GatewayId, LogEvent};
 use crate::clock::Millis;
 use crate::hot_restart::OverrideSubject;
 
@@ -105,6 +105,11 @@
     }
 }
 
+/// Whether a connection without a request in progress is considered idle in a drain.
+fn is_idle(usage: &ConnectionUsage, now: Millis) -> bool {
+    usage.idle_since + CLIENT_IDLE_TIMEOUT <= now
+}
+
 impl Reduction<'_> {
     fn enter_lifecycle(&mut self, to: Lifecycle) {
         let from = self.state.lifecycle;
@@ -200,8 +205,7 @@
 
     /// Whether client connections are closed after a reply.
     pub(super) fn closes_after_reply(&self) -> bool {
-        let drain = self.state.lifecycle.client_drain();
-        drain.is_some_and(|drain| self.now >= drain.close_after_reply_from)
+        self.client_drain().is_some_and(|drain| self.now >= drain.close_after_reply_from)
     }
 
     /// Whether load balancers should send clients to this aggregator, as reported on `/healthz`.
@@ -211,29 +215,79 @@
             && !self.has_drain_override()
     }
 
+    /// The times of the current drain, if any. Those of a shutdown are before its deadlines, however short these are.
+    fn client_drain(&self) -> Option<ClientDrain> {
+        let drain = self.state.lifecycle.client_drain()?;
+        let Some(deadlines) = self.state.shutdown_deadlines else { return Some(drain) };
+        Some(ClientDrain {
+            close_after_reply_from: drain.close_after_reply_from.min(deadlines.replies),
+            close_idle_from: drain.close_idle_from.min(deadlines.replies),
+        })
+    }
+
     /// Performs the next step of a drain: stops accepting clients when due, and closes idle clients after the grace
     /// period.
     pub(super) fn drain_clients(&mut self) {
-        let Some(drain) = self.state.lifecycle.client_drain() else { return };
+        let Some(drain) = self.client_drain() else { return };
         self.stop_accepting_if_due();
         if self.now < drain.close_idle_from {
             self.state.set_timer(drain.close_idle_from, Timer::DrainClients);
             return;
         }
-        let is_idle = |usage: &ConnectionUsage| usage.idle_since + CLIENT_IDLE_TIMEOUT <= self.now;
-        let closes =
-            |client: &Client| client.is_connection() && client.query.is_none() && is_idle(&client.usage);
+        let close_now_at = self.state.shutdown_deadlines.map(|deadlines| deadlines.connections);
+        if close_now_at.is_some_and(|at| self.now >= at) {
+            self.close_connections_now();
+        } else {
+            self.close_idle_clients();
+            self.close_idle_gateways();
+        }
+        let next_step = self.now + CLIENT_IDLE_TIMEOUT;
+        let close_now_at = close_now_at.filter(|at| *at > self.now);
+        self.state.set_timer(close_now_at.map_or(next_step, |at| at.min(next_step)), Timer::DrainClients);
+    }
+
+    fn close_idle_clients(&mut self) {
+        let closes = |client: &Client| {
+            client.is_connection()
+                && client.query.is_none()
+                && !client.usage.closing
+                && is_idle(&client.usage, self.now)
+        };
         let idle = self.state.clients.iter().filter(|(_, client)| closes(client));
-        self.effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
+        let idle: Vec<ClientId> = idle.map(|(id, _)| *id).collect();
+        for client in idle {
+            self.close_client(client);
+        }
+    }
+
+    fn close_idle_gateways(&mut self) {
         // The close lets the calls in flight end. A new connection may have a call in transit.
-        let closes = |gateway: &Gateway| !gateway.is_idle() || is_idle(&gateway.usage);
+        let closes = |gateway: &Gateway| !gateway.is_idle() || is_idle(&gateway.usage, self.now);
         let open = self.state.gateways.iter().filter(|(_, gateway)| !gateway.usage.closing);
         let closing: Vec<GatewayId> =
             open.filter(|(_, gateway)| closes(gateway)).map(|(id, _)| *id).collect();
         for gateway in closing {
             self.close_gateway(gateway);
         }
-        self.state.set_timer(self.now + CLIENT_IDLE_TIMEOUT, Timer::DrainClients);
+    }
+
+    /// Closes all connections but those of clients with a query in progress, which end with its reply: a request that is
+    /// completed later could not be answered before the process is killed.
+    fn close_connections_now(&mut self) {
+        for (id, client) in &mut self.state.clients {
+            if client.gateway.is_none() && client.query.is_none() && !client.usage.closing_now {
+                client.usage.closing = true;
+                client.usage.closing_now = true;
+                self.effects.push(Effect::CloseClientNow(*id));
+            }
+        }
+        for (id, gateway) in &mut self.state.gateways {
+            if !gateway.usage.closing_now {
+                gateway.usage.closing = true;
+                gateway.usage.closing_now = true;
+                self.effects.push(Effect::CloseGatewayNow(*id));
+            }
+        }
     }
 
     pub(super) fn listener_closed(&mut self) {
@@ -242,6 +296,8 @@
 
     fn stop_accepting_if_due(&mut self) {
         let Some(stops_at) = self.state.lifecycle.stops_accepting_at() else { return };
+        let stops_at =
+            self.state.shutdown_deadlines.map_or(stops_at, |deadlines| stops_at.min(deadlines.replies));
         if self.state.accepting_clients && self.now >= stops_at {
             self.state.accepting_clients = false;
             self.effects.push(Effect::StopAccepting);
--- a/src/aggregator/records.rs
+++ b/src/aggregator/records.rs
@@ -33,12 +33,14 @@
     pub answered: bool,
     /// Whether it is being closed.
     pub closing: bool,
+    /// Whether it is being closed even if a request has been received in part.
+    pub closing_now: bool,
 }
 
 impl ConnectionUsage {
     /// The use of a connection that is opened at `now`.
     pub fn new(now: Millis) -> Self {
-        ConnectionUsage { idle_since: now, answered: false, closing: false }
+        ConnectionUsage { idle_since: now, answered: false, closing: false, closing_now: false }
     }
 }
 
--- a/src/net/effects.rs
+++ b/src/net/effects.rs
@@ -6,7 +6,7 @@
 use super::hot_restart::HotRestartHandle;
 use super::leaf_connection;
 use super::ledger_writer::{LedgerWriter, PendingReply};
-use super::messages::{ClientMessage, EventSender, LEAF_QUEUE_LENGTH, LeafMessage};
+use super::messages::{ClientMessage, EventSender, GatewayMessage, LEAF_QUEUE_LENGTH, LeafMessage};
 use super::metrics::NetMetrics;
 use crate::aggregator::{
     AdminCallId, AdminOutcome, ClientId, ConnectionId, Effect, GatewayId, Lifecycle, Limits, Reply, Siblings,
@@ -25,8 +25,7 @@
 pub(super) struct EffectDispatcher {
     events: EventSender,
     clients: HashMap<ClientId, mpsc::Sender<ClientMessage>>,
-    /// Dropped to close a gateway's connection gracefully.
-    gateways: HashMap<GatewayId, oneshot::Sender<()>>,
+    gateways: HashMap<GatewayId, mpsc::Sender<GatewayMessage>>,
     leaf_connections: HashMap<ConnectionId, mpsc::Sender<LeafMessage>>,
     /// Dropped to stop accepting clients, one for each listener.
     stop_accepting: Vec<oneshot::Sender<()>>,
@@ -81,8 +80,10 @@
         match effect {
             Effect::Reply { client, reply, close } => self.reply(PendingReply { client, reply, close }),
             Effect::LedgerEntry(client, entry) => self.record_entry(client, entry),
-            Effect::CloseClient(client) => self.close_client(client),
-            Effect::CloseGateway(gateway) => self.close_gateway(gateway),
+            Effect::CloseClient(client) => self.send_to_client(client, ClientMessage::Close),
+            Effect::CloseClientNow(client) => self.send_to_client(client, ClientMessage::CloseNow),
+            Effect::CloseGateway(gateway) => self.send_to_gateway(gateway, GatewayMessage::Close),
+            Effect::CloseGatewayNow(gateway) => self.send_to_gateway(gateway, GatewayMessage::CloseNow),
             Effect::Connect(connection, address) => self.connect(connection, address),
             Effect::SendCall(connection, parts) => self.send_to_leaf(connection, LeafMessage::Call(parts)),
             Effect::SendCancellation(connection, attempt) => {
@@ -113,13 +114,13 @@
         self.clients.remove(&client);
     }
 
-    /// Registers a gateway's connection, which is closed gracefully once `close` is dropped.
-    pub fn add_gateway(&mut self, gateway: GatewayId, close: oneshot::Sender<()>) {
-        self.gateways.insert(gateway, close);
+    /// Registers a gateway's connection; requests to close it are sent to `messages`.
+    pub fn add_gateway(&mut self, gateway: GatewayId, messages: mpsc::Sender<GatewayMessage>) {
+        self.gateways.insert(gateway, messages);
     }
 
-    /// Closes a gateway's connection gracefully, or forgets one that has ended.
-    pub fn close_gateway(&mut self, gateway: GatewayId) {
+    /// Removes a gateway whose connection has ended.
+    pub fn remove_gateway(&mut self, gateway: GatewayId) {
         self.gateways.remove(&gateway);
     }
 
@@ -198,21 +199,26 @@
     }
 
     fn send_reply(&self, PendingReply { client, reply, close }: PendingReply) {
+        self.send_to_client(client, ClientMessage::Reply { reply, close });
+    }
+
+    /// Sends a message to a client's task. A client awaits one reply at a time, so its queue has room unless its task has
+    /// ended.
+    fn send_to_client(&self, client: ClientId, message: ClientMessage) {
         if let Some(messages) = self.clients.get(&client) {
-            // A client awaits one reply at a time, so its queue has room for it unless its task has ended.
-            let _ = messages.try_send(ClientMessage::Reply { reply, close });
+            let _ = messages.try_send(message);
         }
     }
 
-    fn record_entry(&mut self, client: ClientId, entry: Entry) {
-        if let Some(ledger) = &mut self.ledger {
-            ledger.record(client, entry);
+    fn send_to_gateway(&self, gateway: GatewayId, message: GatewayMessage) {
+        if let Some(messages) = self.gateways.get(&gateway) {
+            let _ = messages.try_send(message);
         }
     }
 
-    fn close_client(&self, client: ClientId) {
-        if let Some(messages) = self.clients.get(&client) {
-            let _ = messages.try_send(ClientMessage::Close);
+    fn record_entry(&mut self, client: ClientId, entry: Entry) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.record(client, entry);
         }
     }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -170,8 +170,8 @@
                     None => Event::ClientOpened(client),
                 }
             }
-            LoopInput::GatewayOpened { gateway, close } => {
-                self.effects.add_gateway(gateway, close);
+            LoopInput::GatewayOpened { gateway, messages } => {
+                self.effects.add_gateway(gateway, messages);
                 Event::GatewayOpened(gateway)
             }
         }
@@ -210,7 +210,7 @@
     fn remove_ended(&mut self, event: &Event) {
         match event {
             Event::ClientClosed(client) => self.effects.remove_client(*client),
-            Event::GatewayClosed(gateway) => self.effects.close_gateway(*gateway),
+            Event::GatewayClosed(gateway) => self.effects.remove_gateway(*gateway),
             Event::ConnectionEnded { connection, .. } => self.effects.remove_leaf_connection(*connection),
             _ => {}
         }
--- a/src/net/flight/call_request.rs
+++ b/src/net/flight/call_request.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, HeaderName, Request, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use std::fmt;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 use tonic::{Code, Status};
@@ -58,6 +59,8 @@
     } else {
         let eviction = memory.eviction();
         tokio::select! {
+            // A request that is complete is not rejected.
+            biased;
             message = read_message(body, max_message_bytes + MESSAGE_PREFIX_BYTES, &mut memory) => message?,
             () = sleep_until(started_at + REQUEST_TIMEOUT) => {
                 calls.set_stalled();
@@ -68,6 +71,9 @@
                 return Err(refused(MemoryExhausted));
             }
             () = calls.stalled() => return Err(refused(MemoryExhausted)),
+            () = calls.rejects_incomplete() => {
+                return Err(refused("the connection is closed before the request is complete"));
+            }
         }
     };
     memory.set_evictable(None);
@@ -112,7 +118,7 @@
 }
 
 /// The status of a rejected call: it has not been forwarded, so that the gateway may repeat it.
-fn refused(error: MemoryExhausted) -> Status {
+fn refused(reason: impl fmt::Display) -> Status {
     let details = ErrorDetails::with_retry_info(None);
-    Status::with_error_details(Code::Unavailable, error.to_string(), details)
+    Status::with_error_details(Code::Unavailable, reason.to_string(), details)
 }
--- a/src/net/flight/call_tracker.rs
+++ b/src/net/flight/call_tracker.rs
@@ -35,6 +35,8 @@
     has_answered: bool,
     /// Whether the gateway has not sent a request, or not read an answer, in time.
     has_stalled: bool,
+    /// Whether calls whose requests are incomplete are rejected.
+    rejects_incomplete: bool,
 }
 
 /// Counts as open until it is dropped.
@@ -74,6 +76,22 @@
         let _ = self.activity.subscribe().wait_for(|activity| activity.has_stalled).await;
     }
 
+    /// Rejects the calls whose requests are incomplete, and later ones.
+    pub fn reject_incomplete(&self) {
+        self.activity.send_modify(|activity| activity.rejects_incomplete = true);
+    }
+
+    /// Waits until calls whose requests are incomplete are rejected.
+    pub async fn rejects_incomplete(&self) {
+        let _ = self.activity.subscribe().wait_for(|activity| activity.rejects_incomplete).await;
+    }
+
+    /// Waits until calls whose requests are incomplete are rejected and none is open.
+    pub async fn none_open_after_rejection(&self) {
+        let is_over = |activity: &Activity| activity.rejects_incomplete && activity.open == 0;
+        let _ = self.activity.subscribe().wait_for(is_over).await;
+    }
+
     /// Waits until no call has been open for `period`. Those whose answers the gateway does not read no longer count.
     pub async fn none_open_for(&self, period: Duration) {
         let mut activity = self.activity.subscribe();
--- a/src/net/flight/gateway.rs
+++ b/src/net/flight/gateway.rs
@@ -8,7 +8,7 @@
 use crate::net::client_listener::{ConnectionPermit, SessionStarter};
 use crate::net::lingering_close::lingering_close;
 use crate::net::memory::MemoryBudget;
-use crate::net::messages::EventSender;
+use crate::net::messages::{EventSender, GATEWAY_QUEUE_LENGTH, GatewayMessage};
 use arrow_flight::flight_service_server::FlightServiceServer;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
@@ -20,7 +20,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 use tower_service::Service;
 use tracing::debug;
 
@@ -60,8 +60,8 @@
     async fn start_session(&mut self, mut stream: TcpStream, permit: ConnectionPermit) {
         let gateway = GatewayId(self.next_gateway);
         self.next_gateway += 1;
-        let (close, close_requested) = oneshot::channel();
-        if self.events.open_gateway(gateway, close).await.is_err() {
+        let (sender, messages) = mpsc::channel(GATEWAY_QUEUE_LENGTH);
+        if self.events.open_gateway(gateway, sender).await.is_err() {
             return;
         }
         let events = self.events.clone();
@@ -70,7 +70,7 @@
         tokio::task::spawn_local(async move {
             let _ = stream.set_nodelay(true);
             let calls = CallTracker::default();
-            serve(&mut stream, service, &calls, &budget, close_requested).await;
+            serve(&mut stream, service, &calls, &budget, messages).await;
             if calls.has_answered() {
                 // An I/O error means that the gateway has disconnected.
                 let _ = lingering_close(&mut stream, pending()).await;
@@ -82,14 +82,14 @@
     }
 }
 
-/// Serves the connection until the gateway closes it, or until it is closed because the sender of `close_requested` has been
-/// dropped or the gateway does not read an answer.
+/// Serves the connection until the gateway closes it, or until it is closed because the aggregator asks for it or the gateway
+/// does not read an answer.
 async fn serve(
     stream: &mut TcpStream,
     service: QueryService,
     calls: &CallTracker,
     budget: &MemoryBudget,
-    close_requested: oneshot::Receiver<()>,
+    mut messages: mpsc::Receiver<GatewayMessage>,
 ) {
     let flight = FlightServiceServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let tracker = calls.clone();
@@ -117,15 +117,29 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         result = connection.as_mut() => return log_end(result),
-        _ = close_requested => {}
+        message = messages.recv() => if matches!(message, Some(GatewayMessage::CloseNow)) {
+            calls.reject_incomplete();
+        },
         () = calls.stalled() => {}
     }
     connection.as_mut().graceful_shutdown();
+    let forward_close_now = async {
+        while let Some(message) = messages.recv().await {
+            if matches!(message, GatewayMessage::CloseNow) {
+                calls.reject_incomplete();
+            }
+        }
+        pending::<()>().await;
+    };
     tokio::select! {
         result = connection => log_end(result),
         () = calls.none_open_for(CLOSE_TIMEOUT) => {
             debug!("gateway has not acknowledged the close of its connection");
         }
+        () = calls.none_open_after_rejection() => {
+            debug!("gateway disconnected without waiting for further calls");
+        }
+        () = forward_close_now => {}
     }
 }
 
--- a/src/net/flight/server.rs
+++ b/src/net/flight/server.rs
@@ -99,7 +99,7 @@
                     return Ok(response);
                 }
                 // A call ends with its reply anyway.
-                Some(ClientMessage::Close) => {}
+                Some(ClientMessage::Close | ClientMessage::CloseNow) => {}
                 None => return Err(AggregatorStopped.into()),
             }
         }
--- a/src/net/http/session.rs
+++ b/src/net/http/session.rs
@@ -56,7 +56,7 @@
         input: ReadBuffer::new(memory),
         memory,
         idle_since: Instant::now(),
-        closing_since: None,
+        closing_deadline: None,
         is_discarding: false,
     };
     let end = session.serve().await.unwrap_or_else(|error| match error.kind() {
@@ -76,8 +76,9 @@
     memory: &'a MemoryBudget,
     /// When the connection opened or its last response was written, whichever is later.
     idle_since: Instant,
-    /// When the aggregator first asked to close the connection after the current request.
-    closing_since: Option<Instant>,
+    /// The time by which a partly received request must be complete; `None` until the aggregator has asked to close the
+    /// connection after the current request.
+    closing_deadline: Option<Instant>,
     /// The client has pipelined too much: what it sends is discarded, and the connection ends after the requests that have
     /// been kept.
     is_discarding: bool,
@@ -125,7 +126,7 @@
             let Some(ClientReply { reply, close }) = self.await_reply().await? else {
                 return Ok(ClientEnd::Disconnected);
             };
-            let close = close || self.closing_since.is_some() || !request.keep_alive;
+            let close = close || self.closing_deadline.is_some() || !request.keep_alive;
             self.write_response(&response::render_reply(reply, close)).await?;
             if close {
                 self.lingering_close().await?;
@@ -175,9 +176,9 @@
                 }
                 Err(error) => return Ok(ReadOutcome::Rejected(error)),
             }
-            if let Some(closing_since) = self.closing_since {
+            if let Some(closing_deadline) = self.closing_deadline {
                 if has_started {
-                    deadline = deadline.min(closing_since + REQUEST_TIMEOUT_WHILE_CLOSING);
+                    deadline = deadline.min(closing_deadline);
                 } else if final_read_granted {
                     return Ok(ReadOutcome::Idle);
                 } else {
@@ -200,7 +201,8 @@
                     Err(_) => return Ok(ReadOutcome::Idle),
                 },
                 message = self.messages.recv() => match message {
-                    Some(ClientMessage::Close) => self.begin_closing(),
+                    Some(ClientMessage::Close) => self.begin_closing(REQUEST_TIMEOUT_WHILE_CLOSING),
+                    Some(ClientMessage::CloseNow) => self.begin_closing(FINAL_READ_TIMEOUT),
                     Some(ClientMessage::Reply { .. }) => {}
                     None => return Ok(ReadOutcome::Idle),
                 },
@@ -227,8 +229,11 @@
         ReceivedRequest { event, keep_alive: request.keep_alive }
     }
 
-    fn begin_closing(&mut self) {
-        self.closing_since.get_or_insert_with(Instant::now);
+    /// Closes the connection after the current request. One that has been received in part must be complete within
+    /// `timeout`.
+    fn begin_closing(&mut self, timeout: Duration) {
+        let deadline = Instant::now() + timeout;
+        self.closing_deadline = Some(self.closing_deadline.map_or(deadline, |earlier| earlier.min(deadline)));
     }
 
     /// Reads what has arrived and returns whether the client has disconnected.
@@ -266,7 +271,8 @@
             tokio::select! {
                 message = self.messages.recv() => match message {
                     Some(ClientMessage::Reply { reply, close }) => return Ok(Some(ClientReply { reply, close })),
-                    Some(ClientMessage::Close) => self.begin_closing(),
+                    Some(ClientMessage::Close) => self.begin_closing(REQUEST_TIMEOUT_WHILE_CLOSING),
+                    Some(ClientMessage::CloseNow) => self.begin_closing(FINAL_READ_TIMEOUT),
                     None => return Ok(None),
                 },
                 // While a request is served, data means a pipelined request, and an end of stream a disconnect.
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -3,14 +3,17 @@
 use crate::aggregator::{AttemptId, CallPart, ClientId, Event, GatewayId, Reply};
 use crate::ledger::LedgerEvent;
 use std::fmt;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 /// Capacity of the event loop's queue; senders wait while it is full.
 const EVENT_QUEUE_LENGTH: usize = 1024;
 
-/// Capacity of a client task's queue, which holds at most a reply and a close request.
+/// Capacity of a client task's queue, which holds at most a reply and the two close requests.
 pub(crate) const CLIENT_QUEUE_LENGTH: usize = 4;
 
+/// Capacity of the queue of a gateway connection's task, which gets each message at most once.
+pub(crate) const GATEWAY_QUEUE_LENGTH: usize = 2;
+
 /// Capacity of a leaf connection task's queue; a connection whose queue is full is closed.
 pub(crate) const LEAF_QUEUE_LENGTH: usize = 256;
 
@@ -41,8 +44,8 @@
     GatewayOpened {
         /// The gateway's connection.
         gateway: GatewayId,
-        /// Dropped to close the connection gracefully.
-        close: oneshot::Sender<()>,
+        /// Queue of the connection's task.
+        messages: mpsc::Sender<GatewayMessage>,
     },
     /// An event for the aggregator.
     Event(Event),
@@ -61,6 +64,16 @@
     },
     /// Close the connection once no request is in progress; Flight calls ignore it.
     Close,
+    /// Close the connection, also if a request has been received in part; Flight calls ignore it.
+    CloseNow,
+}
+
+/// A message for the task of a gateway's connection.
+pub(crate) enum GatewayMessage {
+    /// Close the connection gracefully: the calls in flight are answered, those that are being received among them.
+    Close,
+    /// Close the connection; calls whose requests have been received in part are rejected.
+    CloseNow,
 }
 
 /// A message for a leaf connection's task. The aggregator counts these and expects [`Event::Written`] to confirm each.
@@ -125,16 +138,16 @@
         self.send_input(LoopInput::ClientOpened { client: call, gateway: Some(gateway), messages }).await
     }
 
-    /// Registers a gateway's connection, which is closed gracefully once `close` is dropped.
+    /// Registers a gateway's connection; must precede all events of that connection.
     ///
     /// # Errors
     /// The event loop has ended.
     pub async fn open_gateway(
         &self,
         gateway: GatewayId,
-        close: oneshot::Sender<()>,
+        messages: mpsc::Sender<GatewayMessage>,
     ) -> Result<(), AggregatorStopped> {
-        self.send_input(LoopInput::GatewayOpened { gateway, close }).await
+        self.send_input(LoopInput::GatewayOpened { gateway, messages }).await
     }
 
     /// Sends an event of the ledger from the ledger's thread; blocks while the queue is full.
--- a/tests/common/process/client.rs
+++ b/tests/common/process/client.rs
@@ -128,6 +128,11 @@
         });
     }
 
+    /// The connection itself. All responses must have been read.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream.into_inner()
+    }
+
     /// Waits until the aggregator closes the connection.
     pub fn wait_until_closed(&mut self) {
         let mut rest = Vec::new();
--- a/tests/endings/earliest_kill.rs
+++ b/tests/endings/earliest_kill.rs
@@ -1,7 +1,11 @@
 //! Requests that arrive during a graceful shutdown, against the earliest SIGKILL: each is answered in time or not taken.
 
+use crate::common::flight::ticket;
+use crate::common::http2::{Frames, HeaderBlock, message_prefix, ticket_message};
 use crate::common::process::*;
 use crate::{begin_shutdown, with_leaf_server};
+use std::io::Read;
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -75,3 +79,69 @@
         assert!(aggregator.wait_for_exit().success());
     }
 }
+
+// Guards against connections that stay open up to SIGKILL where the longest deadline is short: a request that is completed on
+// one of them then has no time for an answer.
+#[test]
+fn connections_are_closed_before_the_earliest_kill_also_if_deadlines_are_short() {
+    for deadline_ms in [10, 100, 200] {
+        let leaf_server = LeafServer::new();
+        let operator = Some("flight:\n  listen: 127.0.0.1:0\n".to_owned());
+        let mut aggregator = Setup { deadline_ms, operator, ..with_leaf_server(&leaf_server) }.start();
+        let flight = aggregator.flight_address();
+        let mut idle = Client::connect(aggregator.address);
+        assert_eq!(idle.request("GET /healthz HTTP/1.1\r\n\r\n").status, 200);
+        let mut half_read = Client::connect(aggregator.address);
+        let mut half_read_call = TcpStream::connect(&flight).expect("the aggregator accepts");
+        let requested_at = shut_down(&mut aggregator);
+        let limit = earliest_kill(deadline_ms);
+        sleep_until(requested_at + Duration::from_millis(450));
+        let request = query("half", "9000m", &[0]);
+        half_read.send(&request[..request.len() - 1]);
+        let call = Frames::preface().headers(1, &HeaderBlock::do_get()).data(1, &message_prefix(100));
+        call.send(&mut half_read_call).expect("the aggregator reads");
+        idle.request("GET /healthz HTTP/1.1\r\n\r\n");
+        let streams = [
+            ("idle", idle.into_stream()),
+            ("half-read", half_read.into_stream()),
+            ("half-read call", half_read_call),
+        ];
+        let closes = streams.map(|(name, stream)| (name, background(move || closed_at(stream))));
+        for (name, closed_at) in closes {
+            let closed_after = closed_at() - requested_at;
+            assert!(closed_after < limit, "{deadline_ms} ms, {name}: {closed_after:?} of {limit:?}");
+        }
+        assert!(aggregator.wait_for_exit().success());
+    }
+}
+
+// Guards against a call over Flight that is completed after SIGTERM and outlives the process.
+#[test]
+fn a_flight_call_completed_after_sigterm_is_answered_before_the_earliest_kill() {
+    let deadline_ms = 10_000;
+    let leaf_server = LeafServer::new();
+    let operator = Some("flight:\n  listen: 127.0.0.1:0\n".to_owned());
+    let mut aggregator = Setup { deadline_ms, operator, ..with_leaf_server(&leaf_server) }.start();
+    let (_client, _hanging) = answered_client(&aggregator, &leaf_server);
+    let mut gateway = TcpStream::connect(aggregator.flight_address()).expect("the aggregator accepts");
+    let requested_at = shut_down(&mut aggregator);
+    let message = ticket_message(&ticket("slow", &[0]));
+    let (start, rest) = message.split_at(message.len() / 2);
+    let begun = Frames::preface().headers(1, &HeaderBlock::do_get()).data(1, start);
+    begun.send(&mut gateway).expect("the aggregator reads");
+    sleep_until(requested_at + Duration::from_millis(780));
+    Frames::default().last_data(1, rest).send(&mut gateway).expect("the aggregator reads");
+    let closed_after = closed_at(gateway) - requested_at;
+    assert!(closed_after < earliest_kill(deadline_ms), "{closed_after:?}");
+    assert_eq!(aggregator.wait_for_exit().code(), Some(0));
+    assert!(
+        aggregator.log().iter().any(|line| line.contains("sailmux_queries_taken 2")),
+        "the call was read"
+    );
+}
+
+/// Reads until the aggregator closes the connection, and returns when that was.
+fn closed_at(mut stream: TcpStream) -> Instant {
+    let _ = stream.read_to_end(&mut Vec::new());
+    Instant::now()
+}
