Answer the pipelined requests that have been read before a connection closes

What callers saw: a client that pipelines has its second request read and never answered when the reply to the first one ends the connection, as from 650 ms after SIGTERM. A request that was read and then closed with no answer is lost.

Cause: the session closed after the reply during which the aggregator wanted the connection closed, whatever was in its buffer.

Change: the connection closes once the buffer is empty; until then each request that has been read gets its answer, without `Connection: close`. A half-read one has the 300 ms of any half-read request. From the deadline for connections on nothing more is kept, so that a client that sends without a pause ends before SIGKILL.

--- a/src/net/http/session.rs
+++ b/src/net/http/session.rs
@@ -58,6 +58,7 @@
         idle_since: Instant::now(),
         closing_deadline: None,
         is_discarding: false,
+        is_closing_now: false,
     };
     let end = session.serve().await.unwrap_or_else(|error| match error.kind() {
         io::ErrorKind::TimedOut => ClientEnd::UnreadResponse,
@@ -82,6 +83,8 @@
     /// The client has pipelined too much: what it sends is discarded, and the connection ends after the requests that have
     /// been kept.
     is_discarding: bool,
+    /// The aggregator has asked to close the connection after the requests that have been read.
+    is_closing_now: bool,
 }
 
 /// Outcome of reading a request.
@@ -126,7 +129,12 @@
             let Some(ClientReply { reply, close }) = self.await_reply().await? else {
                 return Ok(ClientEnd::Disconnected);
             };
-            let close = close || self.closing_deadline.is_some() || !request.keep_alive;
+            if close {
+                self.begin_closing(REQUEST_TIMEOUT_WHILE_CLOSING);
+            }
+            // Pipelined requests that have been read are answered first.
+            let closes_now = self.closing_deadline.is_some() && self.input.is_empty();
+            let close = closes_now || !request.keep_alive;
             self.write_response(&response::render_reply(reply, close)).await?;
             if close {
                 self.lingering_close().await?;
@@ -179,6 +187,10 @@
             if let Some(closing_deadline) = self.closing_deadline {
                 if has_started {
                     deadline = deadline.min(closing_deadline);
+                    // A client that sends without a pause would always have more to read.
+                    if self.is_closing_now && deadline <= Instant::now() {
+                        return Ok(ReadOutcome::Rejected(RequestError::Timeout));
+                    }
                 } else if final_read_granted {
                     return Ok(ReadOutcome::Idle);
                 } else {
@@ -202,7 +214,7 @@
                 },
                 message = self.messages.recv() => match message {
                     Some(ClientMessage::Close) => self.begin_closing(REQUEST_TIMEOUT_WHILE_CLOSING),
-                    Some(ClientMessage::CloseNow) => self.begin_closing(FINAL_READ_TIMEOUT),
+                    Some(ClientMessage::CloseNow) => self.close_now(),
                     Some(ClientMessage::Reply { .. }) => {}
                     None => return Ok(ReadOutcome::Idle),
                 },
@@ -236,6 +248,12 @@
         self.closing_deadline = Some(self.closing_deadline.map_or(deadline, |earlier| earlier.min(deadline)));
     }
 
+    /// Closes the connection after the requests that have been read completely.
+    fn close_now(&mut self) {
+        self.begin_closing(FINAL_READ_TIMEOUT);
+        self.is_closing_now = true;
+    }
+
     /// Reads what has arrived and returns whether the client has disconnected.
     async fn client_has_disconnected(&mut self) -> io::Result<bool> {
         while self.can_pipeline() {
@@ -247,7 +265,7 @@
                 Err(ReadError::MemoryExhausted) => self.is_discarding = true,
             }
         }
-        if self.is_discarding {
+        if !self.can_pipeline() {
             let discarded = discard_available(&self.stream, DISCARDED_BYTES_PER_REQUEST)?;
             return Ok(discarded.is_end_of_stream);
         }
@@ -261,7 +279,7 @@
     /// disconnect is behind that.
     fn can_pipeline(&mut self) -> bool {
         self.is_discarding |= self.input.len() >= MAX_PIPELINED_BYTES;
-        !self.is_discarding
+        !self.is_discarding && !self.is_closing_now
     }
 
     /// Waits for the reply; `None` if the client disconnects first.
@@ -272,7 +290,7 @@
                 message = self.messages.recv() => match message {
                     Some(ClientMessage::Reply { reply, close }) => return Ok(Some(ClientReply { reply, close })),
                     Some(ClientMessage::Close) => self.begin_closing(REQUEST_TIMEOUT_WHILE_CLOSING),
-                    Some(ClientMessage::CloseNow) => self.begin_closing(FINAL_READ_TIMEOUT),
+                    Some(ClientMessage::CloseNow) => self.close_now(),
                     None => return Ok(None),
                 },
                 // While a request is served, data means a pipelined request, and an end of stream a disconnect.
--- a/tests/endings/earliest_kill.rs
+++ b/tests/endings/earliest_kill.rs
@@ -4,7 +4,7 @@
 use crate::common::http2::{Frames, HeaderBlock, message_prefix, ticket_message};
 use crate::common::process::*;
 use crate::{begin_shutdown, with_leaf_server};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -145,3 +145,51 @@
     let _ = stream.read_to_end(&mut Vec::new());
     Instant::now()
 }
+
+// Guards against pipelined requests that have been read and are dropped without an answer, since the connection was closed
+// after the reply to the first one.
+#[test]
+fn pipelined_requests_that_have_been_read_are_answered_before_the_close() {
+    let leaf_server = LeafServer::new();
+    let mut aggregator = with_leaf_server(&leaf_server).start();
+    let (mut client, mut connection) = answered_client(&aggregator, &leaf_server);
+    let requested_at = shut_down(&mut aggregator);
+    sleep_until(requested_at + Duration::from_millis(500));
+    client.send((0..3).map(|i| query(&format!("q{i}"), "9000m", &[0])).collect::<String>());
+    assert_eq!(connection.next_part(), "q0.0");
+    sleep_until(requested_at + Duration::from_millis(700));
+    connection.answer("q0.0", "good", "v");
+    let mut closes = vec![client.response().header("Connection").is_some()];
+    for i in 1..3 {
+        assert_eq!(connection.next_part(), format!("q{i}.0"));
+        connection.answer(&format!("q{i}.0"), "good", "v");
+        let response = client.response();
+        assert_eq!(response.status, 200, "request {i}");
+        closes.push(response.header("Connection").is_some());
+    }
+    assert_eq!(closes, [false, false, true], "the last answer announces the close");
+    drop(client);
+    assert!(aggregator.wait_for_exit().success());
+}
+
+// Guards against a client that sends requests without a pause and thereby keeps its connection up to SIGKILL.
+#[test]
+fn endless_pipelined_requests_do_not_outlast_the_earliest_kill() {
+    let deadline_ms = 100;
+    let leaf_server = LeafServer::new();
+    let mut aggregator = Setup { deadline_ms, ..with_leaf_server(&leaf_server) }.start();
+    let (client, _hanging) = answered_client(&aggregator, &leaf_server);
+    let mut sender = client.try_clone().into_stream();
+    let requested_at = shut_down(&mut aggregator);
+    let receive = background(move || closed_at(client.into_stream()));
+    for i in 0.. {
+        let requests: String = (0..20).map(|n| query(&format!("q{i}-{n}"), "9000m", &[0])).collect();
+        if sender.write_all(requests.as_bytes()).is_err() || requested_at.elapsed() > Duration::from_secs(3) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    let closed_after = receive() - requested_at;
+    assert!(closed_after < earliest_kill(deadline_ms), "{closed_after:?}");
+    assert!(aggregator.wait_for_exit().success());
+}
