Send replies that wait for the ledger before the earliest SIGKILL

What callers saw: with a strict ledger whose disk hangs, a reply decided before the deadline of a shutdown is held for up to `answer_wait_ms` (1 s at most) beyond it, and SIGKILL finds the request unanswered.

Cause: the hold of a reply knew nothing of the shutdown. It comes after the query's deadline, so limiting queries is not enough.

Change: at SIGTERM the replies that wait, and later ones, get the shutdown's deadline for connections as the end of their wait (Effect::LimitReplyWaits). Each such reply is logged as before (`reply sent before its ledger entry was durable`).

--- a/src/aggregator/effect.rs
+++ b/src/aggregator/effect.rs
@@ -55,6 +55,11 @@
     StoreOverrides(AdminCallId, Overrides),
     /// Publish that the stored overrides with this digest are in force in this process.
     OverridesApplied(u32),
+    /// Send every reply that waits for the ledger at this time at the latest.
+    LimitReplyWaits {
+        /// The time on the aggregator's clock.
+        until: Millis,
+    },
     /// Report that the lifecycle has entered a different state.
     LifecycleChanged {
         /// The previous state.
--- a/src/aggregator/lifecycle.rs
+++ b/src/aggregator/lifecycle.rs
@@ -194,6 +194,7 @@
         let deadlines = ShutdownDeadlines::new(self.now, &self.state.settings.balancer.classes);
         self.state.shutdown_deadlines = Some(deadlines);
         self.state.balancer.limit_answers_to(deadlines.replies);
+        self.effects.push(Effect::LimitReplyWaits { until: deadlines.connections });
         let replies_within = deadlines.replies - self.now;
         self.effects.push(Effect::Log(LogEvent::ShutdownRequested { replies_within }));
         self.enter_lifecycle(if has_successor {
--- a/src/net/effects.rs
+++ b/src/net/effects.rs
@@ -96,6 +96,7 @@
             Effect::AnswerAdmin(call, outcome) => self.answer_admin(call, outcome),
             Effect::StoreOverrides(call, overrides) => self.store_overrides(call, overrides),
             Effect::OverridesApplied(digest) => self.overrides_applied(digest),
+            Effect::LimitReplyWaits { until } => self.limit_reply_waits(until),
             Effect::LifecycleChanged { from, to, ready } => self.lifecycle_changed(from, to, ready),
             Effect::Log(event) => logging::aggregator_event(&event),
             Effect::EndpointAudit(event) => logging::endpoint_event(&event, &self.inventory_paths),
@@ -216,6 +217,12 @@
         }
     }
 
+    fn limit_reply_waits(&mut self, until: Millis) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.limit_reply_waits(until);
+        }
+    }
+
     fn record_entry(&mut self, client: ClientId, entry: Entry) {
         if let Some(ledger) = &mut self.ledger {
             ledger.record(client, entry);
--- a/src/net/http/session.rs
+++ b/src/net/http/session.rs
@@ -13,6 +13,7 @@
 use crate::net::read_buffer::ReadBuffer;
 use futures_util::FutureExt;
 use std::io;
+use std::ops::ControlFlow;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
@@ -97,6 +98,16 @@
     Idle,
 }
 
+/// The state of reading a request on a connection that is being closed.
+struct ClosingRead {
+    /// A part of the request has been received.
+    has_started: bool,
+    /// The connection has been read once more since it is being closed.
+    final_read_granted: bool,
+    /// The time by which a partly received request must be complete.
+    closing_deadline: Instant,
+}
+
 /// A request that has been read.
 struct ReceivedRequest {
     event: Event,
@@ -185,19 +196,12 @@
                 Err(error) => return Ok(ReadOutcome::Rejected(error)),
             }
             if let Some(closing_deadline) = self.closing_deadline {
-                if has_started {
-                    deadline = deadline.min(closing_deadline);
-                    // A client that sends without a pause would always have more to read.
-                    if self.is_closing_now && deadline <= Instant::now() {
-                        return Ok(ReadOutcome::Rejected(RequestError::Timeout));
-                    }
-                } else if final_read_granted {
-                    return Ok(ReadOutcome::Idle);
-                } else {
-                    // A request that arrives at the same time would be lost by an immediate close.
-                    final_read_granted = true;
-                    deadline = deadline.min(Instant::now() + FINAL_READ_TIMEOUT);
+                let closing = ClosingRead { has_started, final_read_granted, closing_deadline };
+                match self.limit_closing_read(&closing, deadline) {
+                    ControlFlow::Break(outcome) => return Ok(outcome),
+                    ControlFlow::Continue(limited) => deadline = limited,
                 }
+                final_read_granted |= !has_started;
             }
             let eviction = self.input.eviction();
             tokio::select! {
@@ -223,6 +227,28 @@
         }
     }
 
+    /// The deadline of the next read of a connection that is being closed, or the outcome if nothing more is read.
+    fn limit_closing_read(
+        &self,
+        closing: &ClosingRead,
+        deadline: Instant,
+    ) -> ControlFlow<ReadOutcome, Instant> {
+        let now = Instant::now();
+        if closing.has_started {
+            let deadline = deadline.min(closing.closing_deadline);
+            // A client that sends without a pause would always have more to read.
+            if self.is_closing_now && deadline <= now {
+                return ControlFlow::Break(ReadOutcome::Rejected(RequestError::Timeout));
+            }
+            return ControlFlow::Continue(deadline);
+        }
+        if closing.final_read_granted {
+            return ControlFlow::Break(ReadOutcome::Idle);
+        }
+        // A request that arrives at the same time would be lost by an immediate close.
+        ControlFlow::Continue(deadline.min(now + FINAL_READ_TIMEOUT))
+    }
+
     /// Consumes a request from the input and converts it into an event.
     fn take_request(&mut self, request: Request) -> ReceivedRequest {
         let event = match request.operation {
--- a/src/net/ledger_writer.rs
+++ b/src/net/ledger_writer.rs
@@ -39,6 +39,8 @@
     clock: Clock,
     /// Maximum time for which a reply waits for its entry; `None` if replies do not wait.
     max_reply_wait: Option<Millis>,
+    /// No reply waits longer than until then; infinite unless the process is shutting down.
+    reply_wait_limit: Millis,
     /// Number of the last entry known to be durable.
     durable_entry: u64,
     /// Number of the last entry of each client whose reply is still to come.
@@ -87,6 +89,7 @@
             thread,
             clock,
             max_reply_wait: settings.max_answer_wait.map(|wait| wait.as_secs_f64() * 1e3),
+            reply_wait_limit: f64::INFINITY,
             durable_entry: 0,
             entry_numbers: HashMap::new(),
             held_replies: VecDeque::new(),
@@ -109,11 +112,19 @@
             return Some(reply);
         };
         let Some(max_wait) = self.max_reply_wait else { return Some(reply) };
-        let deadline = self.clock.now() + max_wait;
+        let deadline = (self.clock.now() + max_wait).min(self.reply_wait_limit);
         self.held_replies.push_back(HeldReply { entry_number, deadline, reply });
         None
     }
 
+    /// Limits the waits of all replies, also of those that are held already.
+    pub fn limit_reply_waits(&mut self, until: Millis) {
+        self.reply_wait_limit = until;
+        for held in &mut self.held_replies {
+            held.deadline = held.deadline.min(until);
+        }
+    }
+
     /// Records which entries are durable, from an event of the ledger's thread.
     pub fn update_durable_entry(&mut self, event: &LedgerEvent) {
         if let LedgerEvent::Durable(number) = event {
--- a/tests/endings/earliest_kill.rs
+++ b/tests/endings/earliest_kill.rs
@@ -6,6 +6,7 @@
 use crate::{begin_shutdown, with_leaf_server};
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -140,6 +141,33 @@
     );
 }
 
+// Guards against a reply that a strict ledger holds back beyond the earliest SIGKILL while its disk hangs.
+#[test]
+fn a_reply_held_for_the_ledger_is_sent_before_the_earliest_kill() {
+    let deadline_ms = 300;
+    let leaf_server = LeafServer::new();
+    let directory = scratch_dir("ledger");
+    let operator =
+        Some(format!("ledger: {{dir: {}, mode: strict, answer_wait_ms: 1000}}\n", directory.display()));
+    let mut aggregator = Setup { deadline_ms, operator, ..with_leaf_server(&leaf_server) }.start();
+    let (mut client, mut connection) = answered_client(&aggregator, &leaf_server);
+    // The ledger's thread reads requests from the directory; it hangs on a pipe that nobody writes to, as on a hung disk.
+    let pipe = directory.join("request-hangs.json");
+    assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+    thread::sleep(Duration::from_millis(600));
+    let requested_at = shut_down(&mut aggregator);
+    sleep_until(requested_at + Duration::from_millis(500));
+    client.send(query("held", "9000m", &[0]));
+    let part = connection.next_part();
+    connection.answer(&part, "good", "v");
+    assert_eq!(client.response().status, 200);
+    let answered_after = requested_at.elapsed();
+    assert!(answered_after < earliest_kill(deadline_ms), "{answered_after:?}");
+    assert!(answered_after > Duration::from_millis(700), "{answered_after:?}: it was not held");
+    drop(client);
+    assert!(aggregator.wait_for_exit().success());
+}
+
 /// Reads until the aggregator closes the connection, and returns when that was.
 fn closed_at(mut stream: TcpStream) -> Instant {
     let _ = stream.read_to_end(&mut Vec::new());
