--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -40,6 +40,9 @@
 /// Maximum length of a leaf server's name in the path, in its percent-encoded form.
 const MAX_NAME_BYTES: usize = 512;
 
+/// Interval of checks for calls in progress while the process exits.
+const CALLS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// An admin call for the event loop.
 pub(crate) struct AdminRequest {
     /// The operator's command.
@@ -48,6 +51,40 @@
     pub reply: oneshot::Sender<AdminOutcome>,
 }
 
+/// The number of calls whose request head has been read and that have not been answered yet. Clones share the number.
+#[derive(Clone, Default)]
+pub(super) struct CallsInProgress(Rc<Cell<usize>>);
+
+/// Counts as a call in progress until it is dropped.
+struct CallGuard(CallsInProgress);
+
+impl CallsInProgress {
+    fn begin(&self) -> CallGuard {
+        self.0.set(self.0.get() + 1);
+        CallGuard(self.clone())
+    }
+
+    /// Waits until no call is in progress. Those that have arrived are read first.
+    pub async fn all_answered(&self) {
+        loop {
+            for _ in 0..READ_YIELDS {
+                tokio::task::yield_now().await;
+            }
+            if self.0.get() == 0 {
+                return;
+            }
+            tokio::time::sleep(CALLS_CHECK_INTERVAL).await;
+        }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        let calls = &self.0.0;
+        calls.set(calls.get() - 1);
+    }
+}
+
 /// Connections without a complete request head, the oldest first.
 #[derive(Clone, Default)]
 struct PendingConnections(Rc<RefCell<VecDeque<PendingConnection>>>);
@@ -91,7 +128,11 @@
 }
 
 /// Accepts admin connections until aborted.
-pub(super) async fn serve(listener: TcpListener, requests: mpsc::Sender<AdminRequest>) {
+pub(super) async fn serve(
+    listener: TcpListener,
+    requests: mpsc::Sender<AdminRequest>,
+    calls: CallsInProgress,
+) {
     let pending = PendingConnections::default();
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     for id in 0.. {
@@ -104,8 +145,13 @@
                 continue;
             }
         };
-        let connection =
-            Connection { id, requests: requests.clone(), pending: pending.clone(), _permit: permit };
+        let connection = Connection {
+            id,
+            requests: requests.clone(),
+            pending: pending.clone(),
+            calls: calls.clone(),
+            _permit: permit,
+        };
         let task = tokio::task::spawn_local(connection.serve(stream));
         pending.add(id, task.abort_handle());
         pending.close_oldest().await;
@@ -117,6 +163,7 @@
     id: u64,
     requests: mpsc::Sender<AdminRequest>,
     pending: PendingConnections,
+    calls: CallsInProgress,
     /// Counts towards [`MAX_CONNECTIONS`] until the connection ends.
     _permit: OwnedSemaphorePermit,
 }
@@ -126,8 +173,11 @@
         let _ = stream.set_nodelay(true);
         let (request_read_sender, request_read) = oneshot::channel();
         let request_read_sender = RefCell::new(Some(request_read_sender));
+        // Held until the response has been written.
+        let call = RefCell::new(None);
         let service = service_fn(|request: Request<Incoming>| {
             self.pending.remove(self.id);
+            call.borrow_mut().get_or_insert_with(|| self.calls.begin());
             if let Some(sender) = request_read_sender.borrow_mut().take() {
                 let _ = sender.send(());
             }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -1,7 +1,7 @@
 //! The event loop: waits for events, timers, admin calls and signals, reduces each event to effects and dispatches
 //! these. It is the only owner of the aggregator's state.
 
-use super::admin::AdminRequest;
+use super::admin::{AdminRequest, CallsInProgress};
 use super::discovery_watch::DiscoveryWatchHandle;
 use super::effects::EffectDispatcher;
 use super::messages::LoopInput;
@@ -11,7 +11,9 @@
 use crate::json::KeyPaths;
 use std::io;
 use std::ops::ControlFlow;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
@@ -20,6 +22,9 @@
 /// Maximum wait for an event while the aggregator has no timer set.
 const MAX_WAIT: Millis = 1000.0;
 
+/// Maximum time for which the exit waits for admin calls. A call waits for sibling processes for at most 600 ms.
+const ADMIN_CALLS_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// The signals that the program handles.
 pub(super) struct Signals {
     terminate: Signal,
@@ -43,6 +48,13 @@
     }
 }
 
+/// The calls of the admin server.
+pub(super) struct AdminCalls {
+    /// Calls for the event loop; closed if there is no admin address.
+    pub requests: mpsc::Receiver<AdminRequest>,
+    pub in_progress: CallsInProgress,
+}
+
 /// The aggregator's state, the inputs of the event loop, and the dispatcher of its effects.
 pub(super) struct EventLoop {
     /// The aggregator's name, for log lines.
@@ -51,8 +63,7 @@
     pub state: State,
     pub effects: EffectDispatcher,
     pub inputs: mpsc::Receiver<LoopInput>,
-    /// Admin calls; closed if there is no admin address.
-    pub admin_requests: mpsc::Receiver<AdminRequest>,
+    pub admin: AdminCalls,
     pub signals: Signals,
     /// Keys of the configuration in force, all of which a reloaded configuration must have.
     pub config_keys: KeyPaths,
@@ -100,6 +111,25 @@
         self.effects.dispatch(effects)
     }
 
+    /// Answers the admin calls that have arrived, for a bounded time. Called after [`EventLoop::run`].
+    pub async fn finish_admin_calls(&mut self) {
+        let deadline = Instant::now() + ADMIN_CALLS_TIMEOUT;
+        let in_progress = self.admin.in_progress.clone();
+        let mut all_answered = pin!(in_progress.all_answered());
+        loop {
+            tokio::select! {
+                biased;
+                Some(request) = self.admin.requests.recv() => {
+                    if let Some(event) = self.event_for(Wakeup::AdminRequest(request)) {
+                        let _ = self.handle(event);
+                    }
+                }
+                () = &mut all_answered => return,
+                () = sleep_until(deadline) => return,
+            }
+        }
+    }
+
     /// Waits until the ledger's thread has written its entries, for a bounded time, and prints the counters.
     pub fn finish(&mut self) {
         self.effects.finish_ledger();
@@ -115,7 +145,7 @@
         tokio::select! {
             // Admin calls first: they must be answered within a second under any load.
             biased;
-            Some(request) = self.admin_requests.recv() => Wakeup::AdminRequest(request),
+            Some(request) = self.admin.requests.recv() => Wakeup::AdminRequest(request),
             _ = self.signals.terminate.recv() => Wakeup::ShutdownSignal,
             _ = self.signals.interrupt.recv() => Wakeup::ShutdownSignal,
             () = sleep_until(wake_at) => Wakeup::Timer,
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,11 +1,11 @@
 //! Startup and shutdown: builds the aggregator's state, starts listeners, watches and threads in order, and runs the
 //! event loop until the aggregator exits.
 
-use super::admin::{self, ADMIN_QUEUE_LENGTH, AdminRequest};
+use super::admin::{self, ADMIN_QUEUE_LENGTH, CallsInProgress};
 use super::client_listener::{Capacities, ListenerCapacity, SessionStarter, accept_clients};
 use super::discovery_watch::{DiscoveryWatchContext, DiscoveryWatchHandle};
 use super::effects::{EffectDispatcher, EffectTargets};
-use super::event_loop::{EventLoop, Signals};
+use super::event_loop::{AdminCalls, EventLoop, Signals};
 use super::flight::gateway::GatewaySessions;
 use super::hot_restart::HotRestartHandle;
 use super::http::HttpSessions;
@@ -50,6 +50,7 @@
 pub async fn serve_on(listener: TcpListener, config: Config) -> io::Result<()> {
     let mut event_loop = start(listener, config).await?;
     event_loop.run().await;
+    event_loop.finish_admin_calls().await;
     event_loop.finish();
     Ok(())
 }
@@ -67,7 +68,7 @@
     let mut state = State::new(config.settings, limits, config.seed, guard).map_err(io::Error::other)?;
     share_request_ids(&mut state, hot_restart.as_ref());
     let address = listener.local_addr()?;
-    let admin_requests = start_admin(config.admin_address, &config.name)?;
+    let admin = start_admin(config.admin_address, &config.name)?;
     let ledger = match ledger {
         Some(settings) => {
             state.enable_ledger(settings.prices.clone());
@@ -92,7 +93,7 @@
         state,
         effects,
         inputs,
-        admin_requests,
+        admin,
         signals,
         config_keys: config.setting_keys,
         discovery_watch: None,
@@ -183,14 +184,15 @@
 }
 
 /// Starts the admin server if it has an address. Without one the returned queue is closed.
-fn start_admin(address: Option<SocketAddr>, name: &str) -> io::Result<mpsc::Receiver<AdminRequest>> {
+fn start_admin(address: Option<SocketAddr>, name: &str) -> io::Result<AdminCalls> {
     let (sender, requests) = mpsc::channel(ADMIN_QUEUE_LENGTH);
+    let in_progress = CallsInProgress::default();
     if let Some(address) = address {
         let listener = listener::bind(address, AddressSharing::Exclusive)?;
         info!("sailmux {name}: admin interface on {}", listener.local_addr()?);
-        tokio::task::spawn_local(admin::serve(listener, sender));
+        tokio::task::spawn_local(admin::serve(listener, sender, in_progress.clone()));
     }
-    Ok(requests)
+    Ok(AdminCalls { requests, in_progress })
 }
 
 /// Parameters that the discovery watch starts with.
--- a/tests/operational_faults.rs
+++ b/tests/operational_faults.rs
@@ -142,6 +142,30 @@
     assert_eq!(query_status(&new, "q"), 200);
 }
 
+// Guards against an operator's command that is cut off, since the process exits while it waits for a sibling process.
+#[test]
+fn an_admin_command_in_progress_at_the_exit_is_answered() {
+    let leaf_server = AnsweringLeafServer::new();
+    let port = shared_port();
+    let setup = Setup::new(&[listed_endpoint("a", leaf_server.address, 0)]).shared(&port);
+    let mut old = setup.start();
+    wait_until_ready(&mut old);
+    let mut new = setup.start();
+    wait_until_ready(&mut new);
+    old.wait_for_log("others=1 ready=true");
+    // Paused, it does not confirm the override, for which the command waits 600 ms.
+    new.pause();
+    let admin: SocketAddr = old.wait_for_log("admin interface on ").parse().expect("an address");
+    let call = "POST /-/leaf-servers/a/disable HTTP/1.1\r\nHost: m\r\nContent-Length: 0\r\n\r\n";
+    let response = background(move || Client::connect(admin).try_request(call));
+    old.wait_for_log("leaf server disabled leaf_server=\"a\"");
+    old.signal("-TERM");
+    assert_eq!(response().map(|response| response.status), Some(200));
+    assert!(old.wait_for_exit().success());
+    new.resume();
+    new.wait_for_log("leaf server disabled leaf_server=\"a\"");
+}
+
 /// Enabling a leaf server that is not disabled changes nothing, and does not cancel a later disable.
 #[test]
 fn an_enable_before_a_disable_does_not_cancel_it() {
