Read the ledger's segments record by record, not whole

What callers saw: a start, a compaction (each 10 s), a request and each command that reads a ledger need memory for a whole segment, its bytes and its decoded records: 114,704 kB for `ledger show` with 300,000 entries in one segment. `segment_mb` goes up to 1,024, and the platform kills the aggregator above its limit, 32 MB at the least.

Cause: a segment was read into one buffer and decoded into one vector.

`store::reader::JournalReader` goes through the segments and keeps the book. `Disk` has `length` and `read_at`; a file that grows while it is read is read up to its length at the beginning.

--- a/src/ledger/disk.rs
+++ b/src/ledger/disk.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, ErrorKind, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
 /// A flat directory of files with two separate durability guarantees: the content of a file survives a power failure
@@ -21,6 +22,27 @@
     /// There is no such file, or it cannot be read.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
 
+    /// The length of a file in bytes, including bytes that are not yet synced.
+    ///
+    /// # Errors
+    /// There is no such file, or it cannot be read.
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(self.read(name)?.len() as u64)
+    }
+
+    /// Reads bytes of a file from `offset` on and returns their number, which is 0 only at the end of the file. A file may
+    /// be larger than the memory: implementations for such files read only these bytes.
+    ///
+    /// # Errors
+    /// There is no such file, or it cannot be read.
+    fn read_at(&self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        let bytes = self.read(name)?;
+        let rest = bytes.get(offset as usize..).unwrap_or_default();
+        let count = rest.len().min(buffer.len());
+        buffer[..count].copy_from_slice(&rest[..count]);
+        Ok(count)
+    }
+
     /// Appends to a file, which is created if it does not exist. Nothing is durable before the next sync; after a power
     /// failure any prefix of the appended bytes may remain.
     ///
@@ -132,6 +154,14 @@
         fs::read(self.directory.join(name))
     }
 
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(fs::metadata(self.directory.join(name))?.len())
+    }
+
+    fn read_at(&self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        File::open(self.directory.join(name))?.read_at(buffer, offset)
+    }
+
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         self.file(name)?.write_all(bytes)
     }
--- a/src/ledger/journal/frame.rs
+++ b/src/ledger/journal/frame.rs
@@ -8,7 +8,7 @@
 /// Offset of the encoded record, which begins with its kind.
 const RECORD_OFFSET: usize = FRAME_HEADER_BYTES - 1;
 /// Maximum length of a frame; a larger length field is treated as garbage.
-const MAX_FRAME_BYTES: usize = 64 << 10;
+pub(super) const MAX_FRAME_BYTES: usize = 64 << 10;
 /// Maximum distance of a later frame's sequence number; a larger one is treated as garbage.
 const MAX_SEQUENCE_GAP: u64 = 1 << 32;
 
@@ -59,22 +59,16 @@
     Some(FramedRecord { length: frame.length, sequence: frame.sequence, record })
 }
 
-/// The sequence number of a frame after `offset` that was written when the bytes at `offset` had already been synced.
-pub(super) fn find_later_synced_frame(bytes: &[u8], offset: usize, sequence: u64) -> Option<u64> {
-    for candidate in offset + 1..bytes.len() {
-        // Checked first, so that a checksum is not computed at every offset of garbage.
-        let is_plausible = read_u64(bytes, candidate + 8)
-            .is_some_and(|number| number > sequence && number - sequence < MAX_SEQUENCE_GAP);
-        if !is_plausible {
-            continue;
-        }
-        if let Some(frame) = Frame::read(&bytes[candidate..])
-            && frame.synced_bytes as usize > offset
-        {
-            return Some(frame.sequence);
-        }
+/// The sequence number of the frame at the start of `bytes` if it was written when the bytes at `offset`, at which the
+/// record `sequence` is expected, had already been synced.
+pub(super) fn later_synced_frame(bytes: &[u8], offset: usize, sequence: u64) -> Option<u64> {
+    // Checked first, so that a checksum is not computed at every offset of garbage.
+    let number = read_u64(bytes, 8)?;
+    if number <= sequence || number - sequence >= MAX_SEQUENCE_GAP {
+        return None;
     }
-    None
+    let frame = Frame::read(bytes)?;
+    (frame.synced_bytes as usize > offset).then_some(frame.sequence)
 }
 
 fn read_u32(bytes: &[u8], offset: usize) -> Option<u32> {
--- a/src/ledger/journal/mod.rs
+++ b/src/ledger/journal/mod.rs
@@ -9,13 +9,14 @@
 mod field;
 mod frame;
 mod record;
+mod scanner;
 
 pub use damage::{Damage, DamageKind};
 pub(super) use field::{FieldReader, put_bytes, put_number, put_signed, put_text};
 pub(super) use frame::read_frame;
+pub(super) use scanner::{ScanError, SegmentScanner, SegmentSource};
 
 use super::record::Record;
-use frame::Frame;
 
 /// Magic number at the start of a segment; the last byte is the format version.
 pub const MAGIC: [u8; 8] = *b"SMXLEDG\x01";
@@ -65,63 +66,21 @@
     output[start + 4..start + 8].copy_from_slice(&checksum.to_le_bytes());
 }
 
-/// Reads a segment. Only the last segment of a ledger may have a torn tail.
+/// Reads a segment that is in memory. Only the last segment of a ledger may have a torn tail.
 ///
 /// # Errors
 /// The segment is damaged before its torn tail.
 pub fn scan(bytes: &[u8], first_sequence: u64, is_last: bool) -> Result<ScannedSegment, Damage> {
-    if let Some(kind) = header_damage(bytes, first_sequence) {
-        // The header of the last segment may not have been synced; then nothing after it was synced either.
-        let is_unsynced = bytes.len() < HEADER_BYTES || bytes.iter().all(|byte| *byte == 0);
-        if is_last && is_unsynced {
-            return Ok(ScannedSegment { torn_bytes: bytes.len(), ..ScannedSegment::default() });
+    let mut scanner = SegmentScanner::new(bytes.len(), first_sequence, is_last);
+    let mut records = Vec::new();
+    loop {
+        match scanner.next(bytes) {
+            Ok(Some(record)) => records.push(record),
+            Ok(None) => break,
+            Err(ScanError::Damaged(damage)) => return Err(damage),
+            Err(ScanError::Io(_)) => unreachable!("memory is always readable"),
         }
-        return Err(Damage { offset: 0, kind });
-    }
-    let mut scanned = ScannedSegment::default();
-    let mut offset = HEADER_BYTES;
-    let mut sequence = first_sequence;
-    while offset < bytes.len() {
-        let Some(frame) = Frame::read(&bytes[offset..]) else {
-            check_torn_tail(bytes, offset, sequence, is_last)?;
-            scanned.torn_bytes = bytes.len() - offset;
-            break;
-        };
-        let record = expected_record(&frame, sequence).map_err(|kind| Damage { offset, kind })?;
-        offset += frame.length;
-        scanned.records.push(ScannedRecord { sequence, record, end: offset });
-        sequence += 1;
-    }
-    scanned.readable_bytes = offset;
-    Ok(scanned)
-}
-
-fn header_damage(bytes: &[u8], first_sequence: u64) -> Option<DamageKind> {
-    if bytes.len() < HEADER_BYTES {
-        return Some(DamageKind::ShortHeader);
-    }
-    if bytes[..HEADER_BYTES] != segment_header(first_sequence) {
-        return Some(DamageKind::UnknownHeader);
-    }
-    None
-}
-
-/// Decodes the record of a frame, which must have the expected sequence number.
-fn expected_record(frame: &Frame<'_>, expected: u64) -> Result<Record, DamageKind> {
-    if frame.sequence != expected {
-        return Err(DamageKind::UnexpectedSequence { found: frame.sequence, expected });
-    }
-    record::decode_record(frame.record).ok_or(DamageKind::UnknownRecord)
-}
-
-/// Checks whether everything from an unreadable frame on may be a torn tail: it may in the last segment, if no later
-/// frame was written after that offset had been synced.
-fn check_torn_tail(bytes: &[u8], offset: usize, sequence: u64, is_last: bool) -> Result<(), Damage> {
-    if !is_last {
-        return Err(Damage { offset, kind: DamageKind::UnreadableRecord });
-    }
-    match frame::find_later_synced_frame(bytes, offset, sequence) {
-        Some(later) => Err(Damage { offset, kind: DamageKind::UnreadableSyncedRecord { later } }),
-        None => Ok(()),
     }
+    let (readable_bytes, torn_bytes) = (scanner.readable_bytes(), scanner.torn_bytes());
+    Ok(ScannedSegment { records, readable_bytes, torn_bytes })
 }
--- a/src/ledger/store/mod.rs
+++ b/src/ledger/store/mod.rs
@@ -1,4 +1,5 @@
-//! A ledger on a [`Disk`]. Each submodule has one job: `recovery` reads the files of a directory, `segments` appends
+//! A ledger on a [`Disk`]. Each submodule has one job: `reader` reads the records of a directory one by
+//! one and `recovery` all of them, `segments` appends
 //! records and makes them durable, `snapshot` saves the book so that opening a ledger reads few records, `compaction`
 //! removes segments that are no longer needed, `exports` writes exports in steps that tolerate a crash after any of
 //! them, and `requests` processes the requests of operators.
@@ -8,6 +9,7 @@
 mod compaction;
 mod exports;
 mod file_names;
+mod reader;
 mod recovery;
 mod requests;
 mod segments;
--- a/src/ledger/store/recovery.rs
+++ b/src/ledger/store/recovery.rs
@@ -3,9 +3,9 @@
 use super::super::book::Book;
 use super::super::disk::Disk;
 use super::super::error::LedgerError;
-use super::super::journal::{self, Damage, DamageKind, ScannedRecord, ScannedSegment};
 use super::super::period::Calendar;
 use super::super::record::Record;
+use super::reader::JournalReader;
 use super::{file_names, snapshot};
 use std::ops::ControlFlow;
 
@@ -68,55 +68,18 @@
     start: Start,
     mut each: impl FnMut(u64, &Record, &Book) -> ControlFlow<()>,
 ) -> Result<Loaded, LedgerError> {
-    let names = disk.list()?;
-    let segments = file_names::segment_sequences(&names);
-    let mut book = load_snapshot(disk, calendar, start, &names, segments.first().copied())?;
-    let mut last_segment = None;
-    let mut records = 0;
-    for (index, first) in segments.iter().copied().enumerate() {
-        let next = segments.get(index + 1).copied();
-        if next.is_some_and(|next| next <= book.sequence + 1) {
-            continue;
-        }
-        let name = file_names::segment(first);
-        let scanned = scan_segment(disk, &name, first, next.is_none())?;
-        if let Some(damage) = missing_records(&scanned, book.sequence, first, next) {
-            return Err(LedgerError::Damaged { file: name, damage });
-        }
-        for ScannedRecord { sequence, record, .. } in &scanned.records {
-            if *sequence == book.sequence + 1 {
-                book.apply(*sequence, record);
-                records += 1;
-                if each(*sequence, record, &book).is_break() {
-                    return Ok(Loaded { book, last_segment, records });
-                }
-            }
-        }
-        if next.is_none() {
-            last_segment = Some(LastSegment {
-                name,
-                readable_bytes: scanned.readable_bytes,
-                torn_bytes: scanned.torn_bytes,
-            });
+    let mut reader = JournalReader::open(disk, calendar, start)?;
+    while let Some((sequence, record)) = reader.next(disk)? {
+        if each(sequence, &record, reader.book()).is_break() {
+            break;
         }
     }
+    let JournalReader { book, last_segment, records, .. } = reader;
     Ok(Loaded { book, last_segment, records })
 }
 
-/// Reads and decodes one segment.
-pub(super) fn scan_segment(
-    disk: &impl Disk,
-    name: &str,
-    first: u64,
-    is_last: bool,
-) -> Result<ScannedSegment, LedgerError> {
-    let bytes = disk.read(name)?;
-    journal::scan(&bytes, first, is_last)
-        .map_err(|damage| LedgerError::Damaged { file: name.to_owned(), damage })
-}
-
 /// The book of the newest intact snapshot that `start` allows; an empty book if there is none.
-fn load_snapshot(
+pub(super) fn load_snapshot(
     disk: &impl Disk,
     calendar: &Calendar,
     start: Start,
@@ -139,25 +102,3 @@
     }
     Ok(Book::new(calendar.clone()))
 }
-
-/// Finds missing records: between the book, which ends at `last_applied`, and a segment, or between that segment and
-/// the next one.
-fn missing_records(
-    scanned: &ScannedSegment,
-    last_applied: u64,
-    first: u64,
-    next: Option<u64>,
-) -> Option<Damage> {
-    if first > last_applied + 1 {
-        let kind = DamageKind::MissingBefore { first: last_applied + 1, last: first - 1 };
-        return Some(Damage { offset: 0, kind });
-    }
-    let expected = first + scanned.records.len() as u64;
-    match next {
-        Some(next) if next != expected => {
-            let kind = DamageKind::MissingAfter { first: expected, last: next - 1 };
-            Some(Damage { offset: scanned.readable_bytes, kind })
-        }
-        _ => None,
-    }
-}
