Write exports and their manifests in pieces, with the same bytes as before

Cause: an export kept every row of the period, a second row for each and the whole file in memory; its manifest summed all billing lines at a time, of which there are as many as entries if each names another unknown tenant.

Billing lines are summed 8,192 at a time, further ones in further passes. `verify` hashes an export in pieces.

--- a/src/cli/ledger/verify.rs
+++ b/src/cli/ledger/verify.rs
@@ -6,10 +6,13 @@
 use crate::hex;
 use crate::ledger::{Book, BookPosition, ExportRecord, Record, RecordedGap};
 use sha2::{Digest, Sha256};
-use std::fs;
-use std::io::ErrorKind;
+use std::fs::File;
+use std::io::{self, ErrorKind, Read};
 use std::path::Path;
 
+/// Number of bytes of an export that are read at a time.
+const READ_BYTES: usize = 64 << 10;
+
 #[derive(clap::Args)]
 pub(in crate::cli) struct Verify {
     #[command(flatten)]
@@ -50,10 +53,24 @@
 fn export_problem(directory: &Path, export: &ExportRecord) -> Option<String> {
     let hash = export.hash.as_ref()?;
     let path = directory.join(export.file_name());
-    match fs::read(&path) {
-        Ok(bytes) if hex::encode(&Sha256::digest(&bytes)) == *hash => None,
+    match file_hash(&path) {
+        Ok(found) if found == *hash => None,
         Ok(_) => Some(format!("{}: does not match the hash of this export in the journal", path.display())),
         Err(error) if error.kind() == ErrorKind::NotFound => None,
         Err(error) => Some(format!("{}: {error}", path.display())),
     }
 }
+
+/// The SHA-256 of a file in hex. The file may be larger than the memory.
+fn file_hash(path: &Path) -> io::Result<String> {
+    let mut file = File::open(path)?;
+    let mut hash = Sha256::new();
+    let mut piece = vec![0; READ_BYTES];
+    loop {
+        let read = file.read(&mut piece)?;
+        if read == 0 {
+            return Ok(hex::encode(&hash.finalize()));
+        }
+        hash.update(&piece[..read]);
+    }
+}
--- a/src/ledger/export.rs
+++ b/src/ledger/export.rs
@@ -1,11 +1,14 @@
-//! The content of an export: the records that are billed in one period, and its manifest. [`render`](super::render)
-//! turns it into bytes.
+//! The rows of an export, which are the records that are billed in one period, and their sums for the manifest.
 
 use super::accounts::{Account, BillingLine, Totals, Usage};
-use super::book::{BilledCorrection, Book, ExportRecord, SequenceRange};
+use super::period::Period;
 use super::record::{Correction, Entry};
 use serde_json::{Value, json};
 
+/// Maximum number of billing lines that are summed at a time. Clients choose the names of unknown tenants, so that there may
+/// be as many lines as entries.
+const MAX_LINES: usize = 8192;
+
 /// The record from which a row of an export is made.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum BilledRecord {
@@ -19,95 +22,90 @@
 #[derive(Clone, Debug)]
 pub(super) struct BilledRow {
     pub sequence: u64,
+    /// Whether its own period had been closed when it was recorded.
+    pub late: bool,
     pub record: BilledRecord,
 }
 
-/// The content of an export.
-#[derive(Clone, Debug)]
-pub struct Export {
-    name: String,
-    period: String,
-    range: SequenceRange,
-    rows: Vec<BilledRow>,
-    totals: Totals,
-}
-
-/// The description written next to an export's file.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Manifest(Value);
-
-impl Manifest {
-    /// Formats the manifest as an indented JSON object and a line feed.
-    pub fn to_json(&self) -> String {
-        format!("{:#}\n", self.0)
-    }
-}
-
-impl Export {
-    /// Creates an export without content.
-    pub(super) fn new(export: &ExportRecord) -> Self {
-        Export {
-            name: export.name.clone(),
-            period: export.period.clone(),
-            range: export.range,
-            rows: Vec::new(),
-            totals: Totals::new(),
-        }
-    }
-
-    /// Adds an entry if it is billed in the export's period. The entry must already be applied to `book`.
-    pub(super) fn add_entry(&mut self, sequence: u64, entry: &Entry, book: &Book) {
-        let (period, late) = book.billed_in(entry.at);
-        if period.to_string() != self.period {
-            return;
-        }
-        // Each unknown tenant has its own account here: unlike the book, an export is written once and needs no bound.
+impl BilledRow {
+    /// The billing line of an entry that is billed in `period`; `None` for a correction, which is in no line.
+    fn line(&self, period: Period) -> Option<(BillingLine, &Entry)> {
+        let BilledRecord::Entry(entry) = &self.record else { return None };
+        // Each unknown tenant has its own account here, unlike in the book.
         let account = if entry.tenant_is_known {
             Account::Tenant(entry.tenant.clone())
         } else {
             Account::Unknown(entry.tenant.clone())
         };
-        let line = BillingLine { period, account, class: entry.class.clone(), share: entry.share };
-        self.totals.entry(line).or_default().add_entry(entry, late);
-        self.rows.push(BilledRow { sequence, record: BilledRecord::Entry(entry.clone()) });
+        Some((BillingLine { period, account, class: entry.class.clone(), share: entry.share }, entry))
     }
+}
+
+/// The numbers of an export's rows.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RowCounts {
+    pub entries: u64,
+    pub corrections: u64,
+}
 
-    /// Adds a correction if it is billed in the export's period.
-    pub(super) fn add_correction(&mut self, billed: &BilledCorrection) {
-        if billed.billed_in.to_string() == self.period {
-            let record = BilledRecord::Correction(billed.correction.clone());
-            self.rows.push(BilledRow { sequence: billed.sequence, record });
+impl RowCounts {
+    pub fn add(&mut self, row: &BilledRow) {
+        match row.record {
+            BilledRecord::Entry(_) => self.entries += 1,
+            BilledRecord::Correction(_) => self.corrections += 1,
         }
     }
+}
+
+/// A bounded number of consecutive billing lines. All lines are summed by as many pages as it takes, each from all rows.
+pub(super) struct LinePage {
+    period: Period,
+    /// The page has the lines after this one.
+    after: Option<BillingLine>,
+    lines: Totals,
+    /// Lines after the last one of the page have been left out.
+    is_cut: bool,
+}
+
+impl LinePage {
+    /// The first lines of a period.
+    pub fn first(period: Period) -> Self {
+        LinePage { period, after: None, lines: Totals::new(), is_cut: false }
+    }
 
-    /// Puts the rows into the order of their sequence numbers.
-    pub(super) fn sort_rows(&mut self) {
-        self.rows.sort_unstable_by_key(|row| row.sequence);
+    /// The period of the lines.
+    pub fn period(&self) -> Period {
+        self.period
     }
 
-    /// The rows in the order of their sequence numbers.
-    pub(super) fn rows(&self) -> &[BilledRow] {
-        &self.rows
+    /// The lines after this page; `None` if there are none.
+    pub fn next(&self) -> Option<Self> {
+        let (last, _) = self.lines.last_key_value().filter(|_| self.is_cut)?;
+        Some(LinePage { period: self.period, after: Some(last.clone()), lines: Totals::new(), is_cut: false })
     }
 
-    /// Number of queries in the export.
-    pub fn entries(&self) -> usize {
-        self.rows.iter().filter(|row| matches!(row.record, BilledRecord::Entry(_))).count()
+    /// Adds a row to its line if that is on this page.
+    pub fn add(&mut self, row: &BilledRow) {
+        let Some((line, entry)) = row.line(self.period) else { return };
+        let is_before = self.after.as_ref().is_some_and(|after| line <= *after);
+        let is_behind = self.is_cut && self.lines.last_key_value().is_some_and(|(last, _)| line > *last);
+        if is_before || is_behind {
+            return;
+        }
+        self.lines.entry(line).or_default().add_entry(entry, row.late);
+        if self.lines.len() > MAX_LINES {
+            self.lines.pop_last();
+            self.is_cut = true;
+        }
     }
 
-    /// Creates the manifest; `hash` is the SHA-256 of the export's file in hex.
-    pub(super) fn manifest(&self, hash: &str) -> Manifest {
-        let entries = self.entries();
-        Manifest(json!({
-            "name": self.name,
-            "period": self.period,
-            "after": self.range.after,
-            "upto": self.range.up_to,
-            "entries": entries,
-            "corrections": self.rows.len() - entries,
-            "sha256": hash,
-            "totals": totals_to_json(&self.totals),
-        }))
+    /// The lines as texts in the manifest's array, without the comma between two of them.
+    pub fn texts(&self) -> impl Iterator<Item = String> {
+        self.lines.iter().map(|line| {
+            let object = format!("{:#}", line_object(line));
+            let indented: Vec<String> = object.lines().map(|line| format!("\n    {line}")).collect();
+            indented.concat()
+        })
     }
 }
 
--- a/src/ledger/export_format.rs
+++ b/src/ledger/export_format.rs
@@ -1,15 +1,19 @@
 //! The formats of exports. Encoding is deterministic, so that an export that was interrupted by a crash is completed
 //! with the same bytes.
 
-use super::export::{BilledRecord, BilledRow, Export};
+use super::arrow_file::{ArrowFile, ArrowFileError, Value};
+use super::disk::Disk;
+use super::error::LedgerError;
+use super::export::{BilledRecord, BilledRow};
+use super::output_file::OutputFile;
 use super::record::{Correction, Entry};
-use arrow_array::{ArrayRef, BooleanArray, Int64Array, RecordBatch, StringArray, UInt64Array};
-use arrow_ipc::writer::FileWriter;
-use arrow_schema::ArrowError;
+use arrow_schema::{ArrowError, DataType};
 use serde::Serialize;
+use std::cell::RefCell;
 use std::error::Error;
 use std::fmt;
-use std::sync::Arc;
+use std::io;
+use std::rc::Rc;
 
 /// The file format of an export.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +42,7 @@
     }
 }
 
-/// An export could not be encoded, which is a bug in this program.
+/// An export could not be encoded.
 #[derive(Debug)]
 pub enum RenderError {
     /// The CSV writer failed.
@@ -47,6 +51,8 @@
     Json(serde_json::Error),
     /// The Arrow writer failed.
     Arrow(ArrowError),
+    /// The texts of a column have 2 GiB or more together, which an Arrow file cannot hold.
+    ColumnTooLong,
 }
 
 impl fmt::Display for RenderError {
@@ -55,6 +61,9 @@
             Self::Csv(error) => write!(f, "{error}"),
             Self::Json(error) => write!(f, "{error}"),
             Self::Arrow(error) => write!(f, "{error}"),
+            Self::ColumnTooLong => {
+                f.write_str("too many rows for an Arrow file; csv and jsonl have no limit")
+            }
         }
     }
 }
@@ -73,9 +82,13 @@
     }
 }
 
-impl From<ArrowError> for RenderError {
-    fn from(error: ArrowError) -> Self {
-        RenderError::Arrow(error)
+impl From<ArrowFileError> for LedgerError {
+    fn from(error: ArrowFileError) -> Self {
+        match error {
+            ArrowFileError::Io(error) => LedgerError::Io(error),
+            ArrowFileError::Arrow(error) => LedgerError::Render(RenderError::Arrow(error)),
+            ArrowFileError::ColumnTooLong => LedgerError::Render(RenderError::ColumnTooLong),
+        }
     }
 }
 
@@ -184,69 +197,154 @@
     }
 }
 
-/// Encodes an export in a format.
-///
-/// # Errors
-/// The format's writer failed, which is a bug in this program.
-pub fn render(export: &Export, format: Format) -> Result<Vec<u8>, RenderError> {
-    let rows: Vec<ExportRow<'_>> = export.rows().iter().map(ExportRow::new).collect();
-    match format {
-        Format::Csv => render_csv(&rows),
-        Format::JsonLines => render_json_lines(&rows),
-        Format::Arrow => Ok(render_arrow(&rows)?),
-    }
-}
-
-fn render_csv(rows: &[ExportRow<'_>]) -> Result<Vec<u8>, RenderError> {
-    // The header is written explicitly, since the CSV writer omits it if there are no rows.
-    let mut writer = csv::WriterBuilder::new().has_headers(false).from_writer(Vec::new());
-    writer.write_record(COLUMNS)?;
-    for row in rows {
-        writer.serialize(row)?;
-    }
-    writer.into_inner().map_err(|error| RenderError::Csv(error.into_error().into()))
-}
-
-fn render_json_lines(rows: &[ExportRow<'_>]) -> Result<Vec<u8>, RenderError> {
-    let mut bytes = Vec::new();
-    for row in rows {
-        serde_json::to_writer(&mut bytes, row)?;
-        bytes.push(b'\n');
-    }
-    Ok(bytes)
-}
-
-fn render_arrow(rows: &[ExportRow<'_>]) -> Result<Vec<u8>, ArrowError> {
-    let columns: [ArrayRef; COLUMNS.len()] = [
-        Arc::new(rows.iter().map(|row| Some(row.sequence)).collect::<UInt64Array>()),
-        text_column(rows, |row| row.kind),
-        integer_column(rows, |row| Some(row.at_ms)),
-        text_column(rows, |row| row.tenant),
-        Arc::new(rows.iter().map(|row| Some(row.known)).collect::<BooleanArray>()),
-        text_column(rows, |row| row.class),
-        text_column(rows, |row| row.query),
-        integer_column(rows, |row| Some(row.requested_parts)),
-        integer_column(rows, |row| Some(row.served_parts)),
-        integer_column(rows, |row| Some(row.attempts)),
-        integer_column(rows, |row| i64::try_from(row.work_milliunits).ok()),
-        text_column(rows, |row| row.outcome),
-        text_column(rows, |row| row.share),
-        text_column(rows, |row| row.corrected_period),
-        text_column(rows, |row| &row.note),
-    ];
-    let batch = RecordBatch::try_from_iter(COLUMNS.into_iter().zip(columns))?;
-    let mut bytes = Vec::new();
-    let mut writer = FileWriter::try_new(&mut bytes, &batch.schema())?;
-    writer.write(&batch)?;
-    writer.finish()?;
-    drop(writer);
-    Ok(bytes)
-}
-
-fn integer_column(rows: &[ExportRow<'_>], value: impl Fn(&ExportRow<'_>) -> Option<i64>) -> ArrayRef {
-    Arc::new(rows.iter().map(value).collect::<Int64Array>())
-}
-
-fn text_column<'a>(rows: &'a [ExportRow<'a>], value: impl Fn(&'a ExportRow<'a>) -> &'a str) -> ArrayRef {
-    Arc::new(rows.iter().map(|row| Some(value(row))).collect::<StringArray>())
+/// Encodes the rows of an export in its format, one by one.
+pub(super) enum RowEncoder {
+    Csv(Box<CsvRows>),
+    JsonLines,
+    Arrow(ArrowFile),
+}
+
+impl RowEncoder {
+    /// Starts an export. `spool_name` makes the name of a temporary file.
+    ///
+    /// # Errors
+    /// The disk failed.
+    pub fn create(
+        disk: &mut impl Disk,
+        format: Format,
+        spool_name: impl Fn(&str) -> String,
+    ) -> Result<Self, LedgerError> {
+        Ok(match format {
+            Format::Csv => RowEncoder::Csv(Box::new(CsvRows::new()?)),
+            Format::JsonLines => RowEncoder::JsonLines,
+            Format::Arrow => RowEncoder::Arrow(ArrowFile::create(
+                disk,
+                COLUMNS.into_iter().zip(column_types()),
+                spool_name,
+            )?),
+        })
+    }
+
+    /// Adds a row.
+    ///
+    /// # Errors
+    /// The disk failed, or the format cannot hold the row.
+    pub fn add(
+        &mut self,
+        disk: &mut impl Disk,
+        output: &mut OutputFile,
+        row: &BilledRow,
+    ) -> Result<(), LedgerError> {
+        let row = ExportRow::new(row);
+        match self {
+            RowEncoder::Csv(rows) => output.write(disk, &rows.encode(&row)?)?,
+            RowEncoder::JsonLines => output.write(disk, &json_line(&row)?)?,
+            RowEncoder::Arrow(file) => file.add_row(disk, &column_values(&row))?,
+        }
+        Ok(())
+    }
+
+    /// Writes what follows the last row.
+    ///
+    /// # Errors
+    /// The disk failed.
+    pub fn finish(self, disk: &mut impl Disk, output: &mut OutputFile) -> Result<(), LedgerError> {
+        match self {
+            RowEncoder::Csv(mut rows) => output.write(disk, &rows.take()?)?,
+            RowEncoder::JsonLines => {}
+            RowEncoder::Arrow(file) => file.finish(disk, output)?,
+        }
+        Ok(())
+    }
+}
+
+/// The CSV writer, which buffers its output in memory until it is taken.
+pub(super) struct CsvRows {
+    writer: csv::Writer<SharedBuffer>,
+    buffer: SharedBuffer,
+}
+
+/// A buffer that can be emptied while a writer owns it.
+#[derive(Clone, Default)]
+struct SharedBuffer(Rc<RefCell<Vec<u8>>>);
+
+impl io::Write for SharedBuffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.borrow_mut().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl CsvRows {
+    fn new() -> Result<Self, RenderError> {
+        let buffer = SharedBuffer::default();
+        // The header is written explicitly, since the CSV writer omits it if there are no rows.
+        let mut writer = csv::WriterBuilder::new().has_headers(false).from_writer(buffer.clone());
+        writer.write_record(COLUMNS)?;
+        Ok(CsvRows { writer, buffer })
+    }
+
+    fn encode(&mut self, row: &ExportRow<'_>) -> Result<Vec<u8>, RenderError> {
+        self.writer.serialize(row)?;
+        // What the writer has not passed on yet stays in its buffer of a fixed size.
+        Ok(std::mem::take(&mut *self.buffer.0.borrow_mut()))
+    }
+
+    /// Everything that has not been returned yet.
+    fn take(&mut self) -> Result<Vec<u8>, RenderError> {
+        self.writer.flush().map_err(|error| RenderError::Csv(error.into()))?;
+        Ok(std::mem::take(&mut *self.buffer.0.borrow_mut()))
+    }
+}
+
+fn json_line(row: &ExportRow<'_>) -> Result<Vec<u8>, RenderError> {
+    let mut line = serde_json::to_vec(row)?;
+    line.push(b'\n');
+    Ok(line)
+}
+
+/// The types of [`COLUMNS`] in the Arrow format.
+fn column_types() -> [DataType; COLUMNS.len()] {
+    [
+        DataType::UInt64,
+        DataType::Utf8,
+        DataType::Int64,
+        DataType::Utf8,
+        DataType::Boolean,
+        DataType::Utf8,
+        DataType::Utf8,
+        DataType::Int64,
+        DataType::Int64,
+        DataType::Int64,
+        DataType::Int64,
+        DataType::Utf8,
+        DataType::Utf8,
+        DataType::Utf8,
+        DataType::Utf8,
+    ]
+}
+
+/// The values of [`COLUMNS`] in the Arrow format.
+fn column_values<'a>(row: &'a ExportRow<'a>) -> [Value<'a>; COLUMNS.len()] {
+    [
+        Value::Unsigned(row.sequence),
+        Value::Text(row.kind),
+        Value::Integer(Some(row.at_ms)),
+        Value::Text(row.tenant),
+        Value::Boolean(row.known),
+        Value::Text(row.class),
+        Value::Text(row.query),
+        Value::Integer(Some(row.requested_parts)),
+        Value::Integer(Some(row.served_parts)),
+        Value::Integer(Some(row.attempts)),
+        Value::Integer(i64::try_from(row.work_milliunits).ok()),
+        Value::Text(row.outcome),
+        Value::Text(row.share),
+        Value::Text(row.corrected_period),
+        Value::Text(&row.note),
+    ]
 }
