--- a/src/cli/ledger/reconcile.rs
+++ b/src/cli/ledger/reconcile.rs
@@ -4,7 +4,7 @@
 use super::super::print;
 use super::LedgerLocation;
 use super::table::totals_table;
-use crate::ledger::{Gap, Ledger, Reconciliation, Record, reconcile, totals_to_json};
+use crate::ledger::{Entry, EntrySource, Gap, Ledger, Reconciliation, Record, reconcile, totals_to_json};
 use serde_json::{Value, json};
 use std::path::PathBuf;
 
@@ -25,23 +25,32 @@
     pub(super) fn run(self) -> Result<(), Failure> {
         let mut ledgers = Vec::new();
         for dir in self.dirs {
-            ledgers.push(read_ledger(LedgerLocation { dir, time_zone: self.time_zone.clone() })?);
+            let location = LedgerLocation { dir, time_zone: self.time_zone.clone() };
+            let book = location.read(|_, _, _| {})?;
+            let directory = location.dir.display().to_string();
+            ledgers.push(Ledger { directory, book, entries: DirectoryEntries(location) });
         }
-        let reconciled = reconcile(&ledgers);
+        let reconciled = reconcile(&ledgers)?;
         let text = if self.json { json_text(&reconciled) } else { plain_text(&reconciled) };
         print(&text)?;
         if reconciled.is_complete() { Ok(()) } else { Err(Failure::Reported) }
     }
 }
 
-fn read_ledger(location: LedgerLocation) -> Result<Ledger, Failure> {
-    let mut records = Vec::new();
-    let book = location.read(|sequence, record, _| {
-        if matches!(record, Record::Entry(_)) {
-            records.push((sequence, record.clone()));
-        }
-    })?;
-    Ok(Ledger { directory: location.dir.display().to_string(), book, records })
+/// The entries of a ledger's directory.
+struct DirectoryEntries(LedgerLocation);
+
+impl EntrySource for DirectoryEntries {
+    type Error = Failure;
+
+    fn visit(&self, visit: &mut dyn FnMut(u64, &Entry)) -> Result<(), Failure> {
+        self.0.read(|sequence, record, _| {
+            if let Record::Entry(entry) = record {
+                visit(sequence, entry);
+            }
+        })?;
+        Ok(())
+    }
 }
 
 fn json_text(reconciled: &Reconciliation) -> String {
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -40,7 +40,7 @@
 pub use options::{Options, Recovery};
 pub use period::{Calendar, ParsePeriodError, Period, UnknownTimeZone};
 pub use price::{ClassPrices, PriceList};
-pub use reconcile::{Ledger, Reconciliation, reconcile};
+pub use reconcile::{EntrySource, Ledger, Reconciliation, reconcile};
 pub use record::{Correction, Entry, Gap, Outcome, QuotaShare, Record};
 pub use request::{Reply, Request, RequestError, RequestOutcome, reply_file_name, request_file_name};
 pub use store::{Store, read_all};
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -462,6 +462,22 @@
     assert_eq!(book.totals().values().map(|usage| usage.queries).sum::<u64>(), 10_000, "no query is lost");
 }
 
+/// The entries of a ledger on a disk.
+struct DiskEntries(FaultyDisk);
+
+impl EntrySource for DiskEntries {
+    type Error = LedgerError;
+
+    fn visit(&self, visit: &mut dyn FnMut(u64, &Entry)) -> Result<(), LedgerError> {
+        let on_record = |sequence: u64, record: &Record, _: &Book| {
+            if let Record::Entry(entry) = record {
+                visit(sequence, entry);
+            }
+        };
+        read_all(&self.0, &calendar(), on_record).map(drop)
+    }
+}
+
 #[test]
 fn reconciliation_finds_overlaps_duplicates_and_clock_differences() {
     let ledger_with = |aggregator: &str, from: u64, to: u64, clock_offset_ms: UnixMs| {
@@ -473,12 +489,10 @@
                 .append(&[Record::Entry(entry(n, NOVEMBER_MS + n as UnixMs + clock_offset_ms))])
                 .expect("written");
         }
-        let mut records = Vec::new();
-        let book =
-            read_all(&disk, &calendar(), |sequence, record, _| records.push((sequence, record.clone())))
-                .expect("readable");
-        Ledger { directory: aggregator.to_owned(), book, records }
+        let book = read_all(&disk, &calendar(), |_, _, _| {}).expect("readable");
+        Ledger { directory: aggregator.to_owned(), book, entries: DiskEntries(disk) }
     };
+    let reconcile = |ledgers: &[Ledger<DiskEntries>]| sailmux::ledger::reconcile(ledgers).expect("readable");
     let reconciliation = reconcile(&[ledger_with("n1", 0, 50, 0), ledger_with("n2", 50, 80, 0)]);
     assert!(
         reconciliation.is_complete() && reconciliation.entries == 80 && reconciliation.duplicate_count == 0
--- a/tests/ledger_memory.rs
+++ b/tests/ledger_memory.rs
@@ -188,3 +188,17 @@
     assert!(lines.iter().all(|line| line["queries"] == 1), "each line is summed once");
     assert_eq!(text, format!("{manifest:#}\n"), "the form of the manifest");
 }
+
+// Guards against a reconciliation that keeps all entries of all ledgers in memory.
+#[test]
+fn reconciling_large_ledgers_does_not_exceed_the_memory_limit() {
+    let first = ledger("n0", SEGMENT_BYTES, ENTRIES, entry);
+    // Every tenth query is in both ledgers.
+    let second =
+        ledger("n1", SEGMENT_BYTES, ENTRIES, |n| entry(if n.is_multiple_of(10) { n } else { n + ENTRIES }));
+    let (peak_kb, output) = run_measured(&["ledger", "reconcile", "--json"], &[&first, &second]);
+    assert_within_limit("reconcile", peak_kb);
+    let reconciled: serde_json::Value = serde_json::from_str(&output).expect("JSON");
+    assert_eq!(reconciled["entries"], 2 * ENTRIES);
+    assert_eq!(reconciled["met_at_two_mixers"], ENTRIES / 10);
+}
