Allow for two stalls before the earliest SIGKILL, and close late arrivals at once

Cause: the margins of a shutdown covered one stall of 150 ms, but the process may be held up both before it handles SIGTERM, from where it reckons, and before it writes. A connection that waited in the listen queue and is accepted after the deadline for connections was told to leave at the next step only, up to 100 ms later, which is the rest of the margin.

Change: replies are decided 300 ms before the earliest SIGKILL (was 200), connections closed 200 ms before it (was 100). The same function closes connections at the deadline and those that are opened after it. A file of a request to the ledger is looked at for its length before it is read into memory.

--- a/src/aggregator/clients.rs
+++ b/src/aggregator/clients.rs
@@ -55,6 +55,8 @@
     pub(super) fn client_opened(&mut self, client: ClientId) {
         self.add_client(client, None);
         self.enforce_client_limit(None);
+        // It may have waited in the listen queue until another connection was closed.
+        self.close_connections_if_due();
     }
 
     pub(super) fn add_client(&mut self, client: ClientId, gateway: Option<GatewayId>) {
--- a/src/aggregator/gateways.rs
+++ b/src/aggregator/gateways.rs
@@ -20,6 +20,7 @@
         let record = Gateway { calls: 0, usage: ConnectionUsage::new(self.now) };
         self.state.gateways.insert(gateway, record);
         self.enforce_client_limit(Some(gateway));
+        self.close_connections_if_due();
     }
 
     pub(super) fn gateway_closed(&mut self, gateway: GatewayId) {
--- a/src/aggregator/lifecycle.rs
+++ b/src/aggregator/lifecycle.rs
@@ -236,9 +236,7 @@
             return;
         }
         let close_now_at = self.state.shutdown_deadlines.map(|deadlines| deadlines.connections);
-        if close_now_at.is_some_and(|at| self.now >= at) {
-            self.close_connections_now();
-        } else {
+        if !self.close_connections_if_due() {
             self.close_idle_clients();
             self.close_idle_gateways();
         }
@@ -272,9 +270,13 @@
         }
     }
 
-    /// Closes all connections but those of clients with a query in progress, which end with its reply: a request that is
-    /// completed later could not be answered before the process is killed.
-    fn close_connections_now(&mut self) {
+    /// From the deadline for connections on, closes all but those of clients with a query in progress, which end with its
+    /// reply: a request that is completed later could not be answered before the process is killed. Returns whether the
+    /// deadline has passed.
+    pub(super) fn close_connections_if_due(&mut self) -> bool {
+        if self.state.shutdown_deadlines.is_none_or(|deadlines| self.now < deadlines.connections) {
+            return false;
+        }
         for (id, client) in &mut self.state.clients {
             if client.gateway.is_none() && client.query.is_none() && !client.usage.closing_now {
                 client.usage.closing = true;
@@ -289,6 +291,7 @@
                 self.effects.push(Effect::CloseGatewayNow(*id));
             }
         }
+        true
     }
 
     pub(super) fn listener_closed(&mut self) {
--- a/src/aggregator/shutdown_deadlines.rs
+++ b/src/aggregator/shutdown_deadlines.rs
@@ -8,10 +8,11 @@
 const MAX_COUNTED_DEADLINE: Millis = 3000.0;
 /// Time from SIGTERM to the earliest SIGKILL, without the longest deadline.
 const KILL_DELAY: Millis = 700.0;
-/// Time before the earliest SIGKILL by which replies are decided: the process may be held up for 150 ms before it writes.
-const REPLY_MARGIN: Millis = 200.0;
+/// Time before the earliest SIGKILL by which replies are decided. The process may be held up for 150 ms before it handles
+/// SIGTERM, and again before it writes.
+const REPLY_MARGIN: Millis = 300.0;
 /// Time before the earliest SIGKILL by which connections without a query are closed.
-const CLOSE_MARGIN: Millis = 100.0;
+const CLOSE_MARGIN: Millis = 200.0;
 
 /// The deadlines of a graceful shutdown, on the aggregator's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/ledger/store/requests.rs
+++ b/src/ledger/store/requests.rs
@@ -57,8 +57,13 @@
         let names = self.disk.list()?;
         let ids: Vec<&str> = names.iter().filter_map(|name| request_id(name)).take(MAX_REQUESTS).collect();
         for id in &ids {
-            let bytes = self.disk.read(&request_file_name(id))?;
-            let reply = self.reply_to(bytes, now)?;
+            let name = request_file_name(id);
+            let is_too_long = self.disk.length(&name)? > MAX_REQUEST_BYTES as u64;
+            let reply = if is_too_long {
+                Reply::Rejected(RequestError::InvalidFile.to_string())
+            } else {
+                self.reply_to(self.disk.read(&name)?, now)?
+            };
             self.write_file_atomically(&reply_file_name(id), reply.to_json().as_bytes())?;
             self.disk.remove(&request_file_name(id))?;
         }
--- a/tests/aggregator.rs
+++ b/tests/aggregator.rs
@@ -448,3 +448,20 @@
     let effects = reduce(&mut state, START + 2.0, Event::GatewayOpened(GatewayId(limit + 1)));
     assert_eq!(closed_gateways(&effects), [limit], "it has sent nothing, and another needs its place");
 }
+
+// Guards against a client that waited in the listen queue, is accepted after the shutdown's deadline for connections, and keeps
+// its connection up to SIGKILL.
+#[test]
+fn a_client_accepted_after_the_shutdown_deadline_is_told_to_leave_at_once() {
+    const START: f64 = 1e6;
+    let mut state = aggregator();
+    reduce(&mut state, START, Event::ShutdownRequested);
+    let client = ClientId(7);
+    let closes_now = |effects: &[Effect]| {
+        effects.iter().any(|effect| matches!(effect, Effect::CloseClientNow(closed) if *closed == client))
+    };
+    // The longest deadline counts as 3 s at most; with 0.7 s that is the earliest SIGKILL.
+    assert!(!closes_now(&reduce(&mut state, START + 3000.0, Event::ClientOpened(client))));
+    reduce(&mut state, START + 3000.0, Event::ClientClosed(client));
+    assert!(closes_now(&reduce(&mut state, START + 3600.0, Event::ClientOpened(client))));
+}
